LibCore: Add the foundation, the design page and the interfaces between libraries

Cause: the repository was empty; every library needs the same ids, units, deadlines, verdicts, results, rings, settings reader, event log, traces and metrics, and the libraries must agree on their interfaces before they are written.

Ruled out: a verdict of its own type per library (retries compare verdicts of different hops), clock times on the wire (clocks of two machines can't be compared), a value_type of LEAF's result (it is private; a trait replaces it).

Before: nothing.

Conclusion: the libraries can be written side by side.

--- /dev/null
+++ b/Libraries/LibCore/EventLog.cpp
@@ -0,0 +1,87 @@
+#include <LibCore/EventLog.h>
+
+#include <LibCore/BootClock.h>
+
+#include <easylogging++.h>
+
+#include <array>
+#include <atomic>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace Sapphire {
+
+namespace {
+
+std::atomic<Severity> leastSeverity { Severity::Info };
+
+std::string_view nameOf(Severity severity)
+{
+    static constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
+    return names.at(static_cast<std::size_t>(severity));
+}
+
+} // namespace
+
+void configureEventLog(const EventLogSettings &settings)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "true");
+    configuration.setGlobally(el::ConfigurationType::Filename, settings.file.empty() ? "/dev/stderr" : settings.file);
+    configuration.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
+    el::Loggers::reconfigureLogger("default", configuration);
+    leastSeverity = settings.least;
+}
+
+std::string quoteJson(std::string_view text)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string quoted = "\"";
+    for (const char character : text) {
+        const auto code = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\') {
+            quoted += '\\';
+            quoted += character;
+        } else if (code < 0x20U) {
+            quoted += "\\u00";
+            quoted += digits[code >> 4U];
+            quoted += digits[code & 0x0fU];
+        } else {
+            quoted += character;
+        }
+    }
+    quoted += '"';
+    return quoted;
+}
+
+void logEvent(const EventType &type, std::initializer_list<EventField> fields)
+{
+    if (type.severity < leastSeverity.load(std::memory_order_relaxed)) {
+        return;
+    }
+    std::string line = "{\"timeMicroseconds\":" + std::to_string(BootClock().wallTime().count());
+    line += ",\"event\":" + std::to_string(type.number);
+    line += ",\"name\":" + quoteJson(type.name);
+    line += ",\"severity\":" + quoteJson(nameOf(type.severity));
+    for (const EventField &field : fields) {
+        line += "," + quoteJson(field.name()) + ":" + quoteJson(field.value());
+    }
+    line += "}";
+    switch (type.severity) {
+    case Severity::Debug:
+    case Severity::Info:
+        LOG(INFO) << line;
+        break;
+    case Severity::Warning:
+        LOG(WARNING) << line;
+        break;
+    case Severity::Error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+} // namespace Sapphire
