--- /dev/null
+++ b/Libraries/LibSteering/CrashSuspects.cpp
@@ -0,0 +1,78 @@
+#include <LibSteering/CrashSuspects.h>
+
+#include <algorithm>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr Milliseconds memory { 600'000 };
+// Bounds the memory that callers can take up by crashing targets with ever new requests.
+constexpr std::size_t mostSuspects = 4096;
+// A crash counts two when the request was alone at the target, and one beside others.
+constexpr int pointsAlone = 2;
+constexpr int pointsBesideOthers = 1;
+constexpr int refusalPoints = 2;
+// An idempotent request may crash one more target before it is refused: the first death can be a coincidence.
+constexpr int refusalPointsIdempotent = 4;
+
+} // namespace
+
+void CrashSuspects::noteCrash(const Fingerprint &fingerprint, bool wasAlone, TimePoint now)
+{
+    if (!m_suspects.contains(fingerprint) && m_suspects.size() >= mostSuspects) {
+        expire(now);
+        if (m_suspects.size() >= mostSuspects) {
+            return;
+        }
+    }
+    CrashSuspect &suspect = m_suspects[fingerprint];
+    suspect.fingerprint = fingerprint;
+    suspect.lastSeenAt = now;
+    suspect.crashes += wasAlone ? pointsAlone : pointsBesideOthers;
+}
+
+void CrashSuspects::merge(const CrashSuspect &suspect, TimePoint now)
+{
+    if (now - suspect.lastSeenAt > memory) {
+        return;
+    }
+    const auto found = m_suspects.find(suspect.fingerprint);
+    if (found == m_suspects.end()) {
+        if (m_suspects.size() < mostSuspects) {
+            m_suspects.emplace(suspect.fingerprint, suspect);
+        }
+        return;
+    }
+    found->second.lastSeenAt = std::max(found->second.lastSeenAt, suspect.lastSeenAt);
+    found->second.crashes = std::max(found->second.crashes, suspect.crashes);
+}
+
+bool CrashSuspects::isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || now - found->second.lastSeenAt > memory) {
+        return false;
+    }
+    return found->second.crashes >= (isIdempotent ? refusalPointsIdempotent : refusalPoints);
+}
+
+std::vector<CrashSuspect> CrashSuspects::seenAfter(TimePoint after, TimePoint now) const
+{
+    std::vector<CrashSuspect> result;
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        if (suspect.lastSeenAt > after && now - suspect.lastSeenAt <= memory) {
+            result.push_back(suspect);
+        }
+    }
+    return result;
+}
+
+void CrashSuspects::expire(TimePoint now)
+{
+    std::erase_if(m_suspects, [now](const auto &entry) {
+        return now - entry.second.lastSeenAt > memory;
+    });
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/CrashSuspects.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibSteering/TargetReport.h>
+
+#include <map>
+#include <vector>
+
+namespace Sapphire {
+
+/// Remembers requests that were running when a target died, so that they don't take down one target after another.
+class CrashSuspects
+{
+public:
+    /// Notes that a target died while the request ran there, alone or beside others.
+    void noteCrash(const Fingerprint &fingerprint, bool wasAlone, TimePoint now);
+    /// Takes what another VM remembers.
+    void merge(const CrashSuspect &suspect, TimePoint now);
+    /// Returns whether the request must not be sent to a target.
+    bool isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const;
+    /// Returns the suspects seen after the given time, for passing on.
+    std::vector<CrashSuspect> seenAfter(TimePoint after, TimePoint now) const;
+    /// Drops suspects that have not been seen for a while.
+    void expire(TimePoint now);
+
+private:
+    std::map<Fingerprint, CrashSuspect> m_suspects;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/LookUpRanking.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/RandomSource.h>
+
+#include <optional>
+#include <set>
+#include <tuple>
+#include <vector>
+
+namespace Sapphire {
+
+/// A VM that a look-up may name.
+struct LookUpCandidate
+{
+    VmId vm;
+    Place place;
+    bool isHomeOfCustomer { false }; ///< Holds a share of the customer's rate.
+};
+
+struct LookUpWish
+{
+    std::optional<RegionId> region; ///< The caller's nearest region.
+    std::optional<AvailabilityZoneId> availabilityZone;
+    std::vector<RegionId> fallbacks; ///< Other regions, nearest first.
+    std::size_t count { 3 }; ///< VMs to name first.
+};
+
+/// Orders the VMs for a caller: the nearest region first and, within a region, the customer's home VMs first.
+/// VMs of equal rank are shuffled, so that callers spread over them.
+std::vector<LookUpCandidate> rankForLookUp(std::vector<LookUpCandidate> candidates, const LookUpWish &wish,
+                                           RandomSource &random);
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/LibSteering/TestCrashSuspects.cpp
@@ -0,0 +1,43 @@
+#include <LibSteering/CrashSuspects.h>
+
+#include <doctest/doctest.h>
+
+using namespace Sapphire;
+
+namespace {
+
+const Fingerprint request("f1");
+const TimePoint start { Milliseconds(1000) };
+
+} // namespace
+
+TEST_CASE("CrashSuspects refuses a request that was alone when its target died")
+{
+    // Guards against a resent request that takes down one target after another.
+    CrashSuspects suspects;
+    CHECK_FALSE(suspects.isRefused(request, false, start));
+    suspects.noteCrash(request, true, start);
+    CHECK(suspects.isRefused(request, false, start));
+    CHECK_FALSE(suspects.isRefused(request, true, start));
+    suspects.noteCrash(request, true, start);
+    CHECK(suspects.isRefused(request, true, start));
+}
+
+TEST_CASE("CrashSuspects does not refuse a bystander after one crash")
+{
+    // Guards against refusing every request that happened to run beside the faulty one.
+    CrashSuspects suspects;
+    suspects.noteCrash(request, false, start);
+    CHECK_FALSE(suspects.isRefused(request, false, start));
+    suspects.noteCrash(request, false, start);
+    CHECK(suspects.isRefused(request, false, start));
+}
+
+TEST_CASE("CrashSuspects forgets after ten minutes and takes what others saw")
+{
+    CrashSuspects suspects;
+    suspects.merge({ request, start, 2 }, start);
+    CHECK(suspects.isRefused(request, false, start));
+    CHECK(suspects.seenAfter(start - Milliseconds(1), start).size() == 1);
+    CHECK_FALSE(suspects.isRefused(request, false, start + Milliseconds(600'001)));
+}
