LibRequest: Run each request id at most once

Before: nothing.

Conclusion: free ids are claimed in the table, issued ids run out of the memory of the one process that may run them.

--- /dev/null
+++ b/Libraries/LibRequest/IssuedRequestId.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+#include <LibCore/Ids.h>
+
+#include <optional>
+#include <string>
+
+namespace Sapphire {
+
+/// A request id that a look-up handed out, bound to the one process that may run it.
+/// Text: "sd1~VM~INCARNATION~MINUTE~" followed by whatever the caller appends.
+class IssuedRequestId
+{
+public:
+    /// Returns nothing if the id was not issued by a look-up.
+    static std::optional<IssuedRequestId> parse(const RequestId &id);
+    /// Returns the text that a caller completes to an id.
+    static std::string prefix(const VmIncarnation &issuer, TimePoint now);
+
+    const VmIncarnation &issuer() const
+    {
+        return m_issuer;
+    }
+    /// Returns when the issuer stops running the id, on the issuer's clock. After that it no longer remembers
+    /// whether the id has run.
+    Deadline expiry() const;
+
+private:
+    IssuedRequestId(VmIncarnation issuer, std::uint64_t minute);
+
+    VmIncarnation m_issuer;
+    std::uint64_t m_minute;
+};
+
+/// Returns whether the text is short enough and of the characters that a request id may have.
+bool isValidRequestId(const std::string &text);
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibRequest/RequestLedger.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/RandomSource.h>
+#include <LibExchange/Refusal.h>
+#include <LibRequest/ClaimJournal.h>
+#include <LibRequest/ClaimTable.h>
+
+#include <map>
+#include <mutex>
+#include <variant>
+
+namespace Sapphire {
+
+/// Makes sure that a request id runs at most once. Safe to call from any thread.
+class RequestLedger
+{
+public:
+    struct Settings
+    {
+        VmIncarnation process;
+        /// Records kept in memory; issued ids beyond it are refused as not run.
+        std::size_t mostRecords { 200'000 };
+    };
+
+    RequestLedger(ClaimTable &table, ClaimJournal &journal, const Clock &clock, Settings settings);
+
+    /// The request may be dispatched once; finish() must follow.
+    struct Started
+    {
+    };
+    /// The request has run, and its answer can be sent again.
+    struct Replay
+    {
+        RecordedAnswer answer;
+    };
+    using Beginning = std::variant<Started, Replay, Refusal>;
+
+    /// Claims the id. An id issued by another process that still lives must be forwarded there instead.
+    Beginning begin(const RequestKey &key, Deadline requestDeadline);
+    /// Records how the request ended; the answer is kept if the verdict is Ran.
+    void finish(const RequestKey &key, Verdict verdict, RecordedAnswer answer);
+
+    /// Returns what this VM knows of an id, from memory or from the table. MayHaveRun if that can't be known.
+    RequestRecord state(const RequestKey &key, Deadline deadline);
+    /// Returns what this VM has in memory.
+    std::optional<RequestRecord> stateInMemory(const RequestKey &key) const;
+
+    /// Returns the prefix for look-ups.
+    std::string issuedPrefix() const;
+    std::size_t recordCount() const;
+
+private:
+    struct Entry
+    {
+        RequestRecord record;
+        std::optional<RowTag> tag;
+        bool isIssued { false };
+        Deadline keepUntil;
+    };
+
+    Beginning beginIssued(const RequestKey &key, Deadline expiry);
+    Beginning beginFree(const RequestKey &key, Deadline requestDeadline);
+    Beginning beginOrphaned(const RequestKey &key, Deadline requestDeadline);
+    /// Returns nothing if the id is not in memory or may run again, else how to answer.
+    std::optional<Beginning> answerFromMemory(const RequestKey &key) const;
+    Beginning refuse(RefusalReason reason, Verdict verdict, const std::string &detail, Milliseconds retryAfter) const;
+    Beginning answerFrom(const RequestRecord &record) const;
+    void forgetExpired(TimePoint now);
+    bool isOwnIssue(const RequestKey &key) const;
+    std::string newNonce();
+
+    ClaimTable &m_table;
+    ClaimJournal &m_journal;
+    const Clock &m_clock;
+    Settings m_settings;
+    mutable std::mutex m_mutex;
+    RandomSource m_random;
+    std::map<RequestKey, Entry> m_entries;
+    /// Finished entries by their keepUntil.
+    std::multimap<Deadline, RequestKey> m_expiries;
+};
+
+} // namespace Sapphire
--- a/Tests/Fakes/FakeTableService.h
+++ b/Tests/Fakes/FakeTableService.h
@@ -102,7 +102,7 @@
 
     Result<RowTag> store(const TableName &table, const std::string &key, const std::string &value)
     {
-        const RowTag tag("\"" + std::to_string(++m_writes) + "\"");
+        RowTag tag("\"" + std::to_string(++m_writes) + "\"");
         m_tables[table][key] = Row { key, value, tag };
         BOOST_LEAF_CHECK(loseAnswerIfAsked());
         return tag;
