--- a/Libraries/LibRequest/IssuedRequestId.cpp
+++ b/Libraries/LibRequest/IssuedRequestId.cpp
@@ -12,7 +12,7 @@
 constexpr char separator = '~';
 constexpr std::size_t fieldCount = 5;
 constexpr std::size_t longestId = 200;
-constexpr std::chrono::minutes lifetime { 60 };
+constexpr std::chrono::minutes lifetime {60};
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
@@ -57,7 +57,7 @@
     if (!incarnation || !minute) {
         return std::nullopt;
     }
-    return IssuedRequestId({ VmId(std::string(fields[1])), Incarnation(*incarnation) }, *minute);
+    return IssuedRequestId({VmId(std::string(fields[1])), Incarnation(*incarnation)}, *minute);
 }
 
 std::string IssuedRequestId::prefix(const VmIncarnation &issuer, TimePoint now)
--- a/Libraries/LibRequest/RequestLedger.cpp
+++ b/Libraries/LibRequest/RequestLedger.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-constexpr Milliseconds storeTimeout { 2'000 };
-constexpr Milliseconds releaseTimeout { 500 };
+constexpr Milliseconds storeTimeout {2'000};
+constexpr Milliseconds releaseTimeout {500};
 // Finished records of free ids stand in the table, so memory only has to cover the time until the journal has written
 // them.
-constexpr Milliseconds freeRecordLifetime { 120'000 };
+constexpr Milliseconds freeRecordLifetime {120'000};
 // Issued ids are refused after an hour; the record outlives the id by the time that a request may take.
-constexpr Milliseconds issuedRecordLifetime { 2 * 3'600'000 };
-constexpr Milliseconds retryRunning { 500 };
-constexpr Milliseconds retryStore { 2'000 };
+constexpr Milliseconds issuedRecordLifetime {2 * 3'600'000};
+constexpr Milliseconds retryRunning {500};
+constexpr Milliseconds retryStore {2'000};
 constexpr std::size_t nonceDigits = 16;
 
 } // namespace
@@ -43,7 +43,7 @@
 RequestLedger::Beginning RequestLedger::refuse(RefusalReason reason, Verdict verdict, const std::string &detail,
                                                Milliseconds retryAfter) const
 {
-    return Refusal { reason, verdict, detail, Deadline::after(m_clock.now(), retryAfter), {} };
+    return Refusal {reason, verdict, detail, Deadline::after(m_clock.now(), retryAfter), {}};
 }
 
 RequestLedger::Beginning RequestLedger::answerFrom(const RequestRecord &record) const
@@ -51,13 +51,13 @@
     switch (record.state) {
     case RequestState::Ran:
         if (record.answer.isWhole) {
-            return Replay { record.answer };
+            return Replay {record.answer};
         }
-        return Refusal { RefusalReason::RequestIdInUse,
-                         Verdict::Ran,
-                         "the request has run; its answer was too long to be kept",
-                         {},
-                         {} };
+        return Refusal {RefusalReason::RequestIdInUse,
+                        Verdict::Ran,
+                        "the request has run; its answer was too long to be kept",
+                        {},
+                        {}};
     case RequestState::Running:
         return refuse(RefusalReason::RequestIdInUse, Verdict::MayHaveRun, "a request with this id is running",
                       retryRunning);
@@ -65,9 +65,7 @@
     case RequestState::NotRun:
         break;
     }
-    return Refusal {
-        RefusalReason::RequestIdInUse, Verdict::MayHaveRun, "a request with this id may have run", {}, {}
-    };
+    return Refusal {RefusalReason::RequestIdInUse, Verdict::MayHaveRun, "a request with this id may have run", {}, {}};
 }
 
 std::optional<RequestLedger::Beginning> RequestLedger::answerFromMemory(const RequestKey &key) const
@@ -94,7 +92,7 @@
 RequestLedger::Beginning RequestLedger::beginIssued(const RequestKey &key, Deadline expiry)
 {
     const TimePoint now = m_clock.now();
-    RequestRecord record { RequestState::Running, m_settings.process, 1, newNonce(), {} };
+    RequestRecord record {RequestState::Running, m_settings.process, 1, newNonce(), {}};
     std::optional<RowTag> tag;
     {
         const std::lock_guard guard(m_mutex);
@@ -103,11 +101,11 @@
             return std::move(*answer);
         }
         if (expiry.hasPassed(now)) {
-            return Refusal { RefusalReason::BadRequest,
-                             Verdict::MayHaveRun,
-                             "the request id is over an hour old; look up a new one",
-                             {},
-                             {} };
+            return Refusal {RefusalReason::BadRequest,
+                            Verdict::MayHaveRun,
+                            "the request id is over an hour old; look up a new one",
+                            {},
+                            {}};
         }
         const auto found = m_entries.find(key);
         if (found != m_entries.end()) {
@@ -119,7 +117,7 @@
             return refuse(RefusalReason::NoCapacity, Verdict::NotRun, "this VM keeps as many request ids as it can",
                           retryStore);
         }
-        m_entries[key] = Entry { record, tag, true, Deadline::never() };
+        m_entries[key] = Entry {record, tag, true, Deadline::never()};
     }
     m_journal.submit(key, record, tag);
     return Started {};
@@ -127,14 +125,14 @@
 
 RequestLedger::Beginning RequestLedger::beginFree(const RequestKey &key, Deadline requestDeadline)
 {
-    const RequestRecord pending { RequestState::Running, m_settings.process, 1, newNonce(), {} };
+    const RequestRecord pending {RequestState::Running, m_settings.process, 1, newNonce(), {}};
     {
         const std::lock_guard guard(m_mutex);
         forgetExpired(m_clock.now());
         if (std::optional<Beginning> answer = answerFromMemory(key)) {
             return std::move(*answer);
         }
-        m_entries[key] = Entry { pending, {}, false, Deadline::never() };
+        m_entries[key] = Entry {pending, {}, false, Deadline::never()};
     }
     const Outcome<ClaimTable::Claim> claim = capture([&] {
         return m_table.claim(key, m_settings.process, pending.nonce,
@@ -142,7 +140,7 @@
     });
     if (claim && claim.value().isMine) {
         const std::lock_guard guard(m_mutex);
-        m_entries[key] = Entry { claim.value().record, claim.value().tag, false, Deadline::never() };
+        m_entries[key] = Entry {claim.value().record, claim.value().tag, false, Deadline::never()};
         return Started {};
     }
     {
@@ -169,11 +167,11 @@
     if (record.state == RequestState::Ran) {
         return answerFrom(record);
     }
-    return Refusal { RefusalReason::IssuerUnreachable,
-                     Verdict::MayHaveRun,
-                     "the VM that issued the request id is gone; it may have run",
-                     {},
-                     {} };
+    return Refusal {RefusalReason::IssuerUnreachable,
+                    Verdict::MayHaveRun,
+                    "the VM that issued the request id is gone; it may have run",
+                    {},
+                    {}};
 }
 
 void RequestLedger::finish(const RequestKey &key, Verdict verdict, RecordedAnswer answer)
@@ -239,7 +237,7 @@
     const std::optional<IssuedRequestId> issued = IssuedRequestId::parse(key.id);
     if (issued && issued->issuer() == m_settings.process && !issued->expiry().hasPassed(m_clock.now())) {
         // Only this process runs the id, and it remembers every id that it ran.
-        return { RequestState::NotRun, m_settings.process, 0, {}, {} };
+        return {RequestState::NotRun, m_settings.process, 0, {}, {}};
     }
     const Outcome<std::optional<RequestRecord>> stored = capture([&] {
         return m_table.read(key, deadline.earlier(Deadline::after(m_clock.now(), storeTimeout)));
@@ -254,9 +252,9 @@
         return record;
     }
     if (stored && !issued) {
-        return { RequestState::NotRun, {}, 0, {}, {} };
+        return {RequestState::NotRun, {}, 0, {}, {}};
     }
-    return { RequestState::MayHaveRun, issued ? issued->issuer() : VmIncarnation {}, 0, {}, {} };
+    return {RequestState::MayHaveRun, issued ? issued->issuer() : VmIncarnation {}, 0, {}, {}};
 }
 
 std::string RequestLedger::issuedPrefix() const
--- a/Libraries/LibRequest/RequestLedger.h
+++ b/Libraries/LibRequest/RequestLedger.h
@@ -20,7 +20,7 @@
     {
         VmIncarnation process;
         /// Records kept in memory; issued ids beyond it are refused as not run.
-        std::size_t mostRecords { 200'000 };
+        std::size_t mostRecords {200'000};
     };
 
     RequestLedger(ClaimTable &table, ClaimJournal &journal, const Clock &clock, Settings settings);
@@ -55,7 +55,7 @@
     {
         RequestRecord record;
         std::optional<RowTag> tag;
-        bool isIssued { false };
+        bool isIssued {false};
         Deadline keepUntil;
     };
 
