--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfiguration/SharedMap.h>
 #include <LibCore/Deadline.h>
 #include <LibCore/Ids.h>
 
@@ -72,6 +73,8 @@
     RegionId id;
     std::vector<RegionId> fallbacks; ///< Other regions, nearest first.
     ChangeMark mark;
+    /// A VM that has not followed this version yet counts a majority of fewer regions.
+    ConfigurationVersion addedIn {};
 };
 
 /// The configuration of a deployment after a number of changes. A plain value: copies are independent.
@@ -83,9 +86,13 @@
     std::map<KeyId, KeyRecord> keys;
     std::map<ServiceId, ServiceRecord> services;
     std::map<TargetId, TargetRecord> targets;
-    std::map<std::string, ClientBlockRecord> clientBlocks;
+    SharedMap<std::string, ClientBlockRecord> clientBlocks;
     /// Incarnations up to and including this one are retired and admit nothing.
     std::map<VmId, Incarnation> retired;
+    /// Who removed a target, so that a command that saw the target before loses against the removal.
+    std::map<TargetId, ChangeMark> removedTargets;
+    /// The ids of the last commands that took effect, by version; a command that is sent again is recognised by them.
+    SharedMap<ConfigurationVersion, CommandId> recentCommands;
 
     bool isRetired(const VmIncarnation &process) const
     {
--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationCodec.cpp
@@ -0,0 +1,291 @@
+#include <LibConfiguration/ConfigurationCodec.h>
+
+#include <LibConfiguration/RecordJson.h>
+
+#include <sstream>
+
+namespace Sapphire {
+
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+/// Raised when the format changes in a way that older programs can't read.
+constexpr std::int64_t formatNumber = 1;
+
+void addMark(Object &object, const ChangeMark &mark)
+{
+    object.set("version", mark.version.value());
+    object.set("changedBy", mark.changedBy.text());
+}
+
+ChangeMark markFrom(SettingsReader &reader)
+{
+    return { RecordJson::versionFrom(reader, "version"), RecordJson::idFrom<OperatorId>(reader, "changedBy") };
+}
+
+template<typename Map, typename AddMembers>
+Array::Ptr arrayOf(const Map &map, AddMembers addMembers)
+{
+    Array::Ptr array = new Array;
+    for (const auto &[key, record] : map) {
+        Object::Ptr object = new Object;
+        addMembers(*object, record);
+        addMark(*object, record.mark);
+        array->add(object);
+    }
+    return array;
+}
+
+Array::Ptr regionsOf(const Configuration &configuration)
+{
+    return arrayOf(configuration.regions, [](Object &object, const RegionRecord &region) {
+        object.set("region", region.id.text());
+        object.set("fallbacks", RecordJson::regionsToJson(region.fallbacks));
+        object.set("addedIn", region.addedIn.value());
+    });
+}
+
+Array::Ptr customersOf(const Configuration &configuration)
+{
+    return arrayOf(configuration.customers, [](Object &object, const CustomerRecord &customer) {
+        object.set("customer", customer.id.text());
+        object.set("ratePerSecond", customer.ratePerSecond);
+        object.set("burst", customer.burst);
+    });
+}
+
+Array::Ptr keysOf(const Configuration &configuration)
+{
+    return arrayOf(configuration.keys, [](Object &object, const KeyRecord &key) {
+        object.set("key", key.id.text());
+        object.set("customer", key.customer.text());
+        object.set("secretHash", key.secretHash);
+        object.set("withdrawn", key.isWithdrawn);
+    });
+}
+
+Array::Ptr removedTargetsOf(const Configuration &configuration)
+{
+    Array::Ptr array = new Array;
+    for (const auto &[id, mark] : configuration.removedTargets) {
+        Object::Ptr object = new Object;
+        object->set("target", id.text());
+        addMark(*object, mark);
+        array->add(object);
+    }
+    return array;
+}
+
+Array::Ptr retiredOf(const Configuration &configuration)
+{
+    Array::Ptr array = new Array;
+    for (const auto &[vm, incarnation] : configuration.retired) {
+        Object::Ptr object = new Object;
+        object->set("vm", vm.text());
+        object->set("incarnation", std::to_string(incarnation.value()));
+        array->add(object);
+    }
+    return array;
+}
+
+/// One text per client block: an object for each of 160,000 would take several times the memory.
+Array::Ptr clientBlocksOf(const Configuration &configuration)
+{
+    Array::Ptr array = new Array;
+    for (const auto &[prefix, block] : configuration.clientBlocks) {
+        array->add(prefix + ' ' + block.region.text() + ' ' + std::to_string(block.mark.version.value()) + ' '
+                   + block.mark.changedBy.text());
+    }
+    return array;
+}
+
+Array::Ptr recentCommandsOf(const Configuration &configuration)
+{
+    Array::Ptr array = new Array;
+    for (const auto &[version, command] : configuration.recentCommands) {
+        array->add(std::to_string(version.value()) + ' ' + command.text());
+    }
+    return array;
+}
+
+std::vector<std::string> wordsOf(const std::string &text)
+{
+    std::istringstream stream(text);
+    std::vector<std::string> words;
+    for (std::string word; stream >> word;) {
+        words.push_back(word);
+    }
+    return words;
+}
+
+/// Calls `read` for each object of the member array and reports members that it didn't ask for.
+template<typename Read>
+void readObjects(SettingsReader &reader, const std::string &name, Read read)
+{
+    if (!reader.has(name)) {
+        reader.reject(name, "nothing", "an array of objects");
+    }
+    for (SettingsReader &element : reader.objects(name)) {
+        read(element);
+        element.rejectUnknownMembers();
+    }
+}
+
+std::vector<std::string> textsFrom(SettingsReader &reader, const std::string &name)
+{
+    if (!reader.has(name)) {
+        reader.reject(name, "nothing", "an array of texts");
+    }
+    return reader.texts(name);
+}
+
+void readRegions(SettingsReader &reader, Configuration &configuration)
+{
+    readObjects(reader, "regions", [&](SettingsReader &element) {
+        RegionRecord region;
+        region.id = RecordJson::idFrom<RegionId>(element, "region");
+        region.fallbacks = RecordJson::regionsFrom(element, "fallbacks");
+        region.addedIn = RecordJson::versionFrom(element, "addedIn");
+        region.mark = markFrom(element);
+        configuration.regions.emplace(region.id, region);
+    });
+}
+
+void readCustomers(SettingsReader &reader, Configuration &configuration)
+{
+    readObjects(reader, "customers", [&](SettingsReader &element) {
+        CustomerRecord customer;
+        customer.id = RecordJson::idFrom<CustomerId>(element, "customer");
+        customer.ratePerSecond = RecordJson::numberFrom(element, "ratePerSecond");
+        customer.burst = RecordJson::numberFrom(element, "burst");
+        customer.mark = markFrom(element);
+        configuration.customers.emplace(customer.id, customer);
+    });
+}
+
+void readKeys(SettingsReader &reader, Configuration &configuration)
+{
+    readObjects(reader, "keys", [&](SettingsReader &element) {
+        KeyRecord key;
+        key.id = RecordJson::idFrom<KeyId>(element, "key");
+        key.customer = RecordJson::idFrom<CustomerId>(element, "customer");
+        key.secretHash = element.requiredText("secretHash");
+        key.isWithdrawn = RecordJson::booleanFrom(element, "withdrawn");
+        key.mark = markFrom(element);
+        configuration.keys.emplace(key.id, key);
+    });
+}
+
+void readServices(SettingsReader &reader, Configuration &configuration)
+{
+    readObjects(reader, "services", [&](SettingsReader &element) {
+        ServiceRecord service = RecordJson::serviceFrom(element);
+        service.mark = markFrom(element);
+        configuration.services.emplace(service.id, service);
+    });
+}
+
+void readTargets(SettingsReader &reader, Configuration &configuration)
+{
+    readObjects(reader, "targets", [&](SettingsReader &element) {
+        TargetRecord target = RecordJson::targetFrom(element);
+        target.mark = markFrom(element);
+        configuration.targets.emplace(target.id, target);
+    });
+    readObjects(reader, "removedTargets", [&](SettingsReader &element) {
+        const auto id = RecordJson::idFrom<TargetId>(element, "target");
+        configuration.removedTargets.emplace(id, markFrom(element));
+    });
+}
+
+void readRetired(SettingsReader &reader, Configuration &configuration)
+{
+    readObjects(reader, "retired", [&](SettingsReader &element) {
+        const auto vm = RecordJson::idFrom<VmId>(element, "vm");
+        configuration.retired.emplace(vm, RecordJson::incarnationFrom(element, "incarnation"));
+    });
+}
+
+void readClientBlocks(SettingsReader &reader, Configuration &configuration)
+{
+    std::vector<std::pair<std::string, ClientBlockRecord>> blocks;
+    for (const std::string &text : textsFrom(reader, "clientBlocks")) {
+        const std::vector<std::string> words = wordsOf(text);
+        const auto version = words.size() == 4 ? RecordJson::digitsFrom(words[2]) : std::nullopt;
+        if (!version) {
+            reader.reject("clientBlocks", text, "PREFIX REGION VERSION OPERATOR");
+            continue;
+        }
+        const ChangeMark mark { ConfigurationVersion(*version), OperatorId(words[3]) };
+        blocks.emplace_back(words[0], ClientBlockRecord { words[0], RegionId(words[1]), mark });
+    }
+    configuration.clientBlocks = SharedMap<std::string, ClientBlockRecord>(std::move(blocks));
+}
+
+void readRecentCommands(SettingsReader &reader, Configuration &configuration)
+{
+    std::vector<std::pair<ConfigurationVersion, CommandId>> commands;
+    for (const std::string &text : textsFrom(reader, "recentCommands")) {
+        const std::vector<std::string> words = wordsOf(text);
+        const auto version = words.size() == 2 ? RecordJson::digitsFrom(words[0]) : std::nullopt;
+        if (!version) {
+            reader.reject("recentCommands", text, "VERSION COMMAND");
+            continue;
+        }
+        commands.emplace_back(ConfigurationVersion(*version), CommandId(words[1]));
+    }
+    configuration.recentCommands = SharedMap<ConfigurationVersion, CommandId>(std::move(commands));
+}
+
+Result<Configuration> configurationFrom(const std::string &text)
+{
+    BOOST_LEAF_AUTO(reader, SettingsReader::create(text));
+    Configuration configuration;
+    reader.requiredInteger("format", formatNumber, formatNumber);
+    configuration.version = RecordJson::versionFrom(reader, "version");
+    readRegions(reader, configuration);
+    readCustomers(reader, configuration);
+    readKeys(reader, configuration);
+    readServices(reader, configuration);
+    readTargets(reader, configuration);
+    readRetired(reader, configuration);
+    readClientBlocks(reader, configuration);
+    readRecentCommands(reader, configuration);
+    reader.rejectUnknownMembers();
+    BOOST_LEAF_CHECK(reader.finish());
+    return configuration;
+}
+
+} // namespace
+
+std::string ConfigurationCodec::encode(const Configuration &configuration)
+{
+    Object object;
+    object.set("format", formatNumber);
+    object.set("version", configuration.version.value());
+    object.set("regions", regionsOf(configuration));
+    object.set("customers", customersOf(configuration));
+    object.set("keys", keysOf(configuration));
+    object.set("services", arrayOf(configuration.services, RecordJson::addService));
+    object.set("targets", arrayOf(configuration.targets, RecordJson::addTarget));
+    object.set("removedTargets", removedTargetsOf(configuration));
+    object.set("retired", retiredOf(configuration));
+    object.set("clientBlocks", clientBlocksOf(configuration));
+    object.set("recentCommands", recentCommandsOf(configuration));
+    std::ostringstream stream;
+    object.stringify(stream);
+    return stream.str();
+}
+
+Result<Configuration> ConfigurationCodec::decode(const std::string &text)
+{
+    try {
+        return configurationFrom(text);
+    } catch (const Poco::Exception &exception) {
+        return fail(ErrorCode::InvalidArgument, "not a configuration: " + exception.displayText());
+    }
+}
+
+} // namespace Sapphire
