LibLimit: Add shares, loans and the allotment duty

Customers' rates and bursts are divided into durable shares at home VMs, with loans of tokens between VMs.

--- /dev/null
+++ b/Libraries/LibLimit/CustomerAccount.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibLimit/DemandMeter.h>
+#include <LibSteering/AllotmentPolicy.h>
+#include <LibSteering/HomeSet.h>
+#include <LibSteering/LoanBook.h>
+#include <LibSteering/TokenBucket.h>
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace Sapphire {
+
+/// What a VM holds for one customer. Owned and guarded by CustomerLimiter.
+struct CustomerAccount
+{
+    struct LenderCandidate
+    {
+        VmId vm;
+        bool isLocal { false };
+    };
+
+    CustomerAccount(TimePoint startsAt, LoanBookSettings settings) : bucket(startsAt), loans(settings)
+    {
+    }
+
+    TokenBucket bucket;
+    LoanBook loans;
+    double ratePerSecond { 0 };
+    double burst { 0 };
+
+    DemandMeter ownDemand; ///< Requests that arrived here.
+    DemandMeter lentDemand; ///< Tokens that others asked for.
+    DemandMeter regionalDemand; ///< Of these, by VMs of this region.
+
+    int homeSize { 1 };
+    std::vector<HomeCandidate> homes;
+    std::vector<LenderCandidate> lenders; ///< In the order in which they are asked.
+    std::uint64_t candidateGeneration { 0 };
+    Allotment knownAllotment; ///< As read last; empty if never.
+
+    std::set<VmId> callsInFlight;
+    int waiting { 0 }; ///< Requests that wait for a call in flight.
+
+    std::uint64_t admitted { 0 };
+    std::uint64_t refused { 0 };
+    std::uint64_t borrowed { 0 };
+    std::uint64_t lent { 0 };
+    std::uint64_t loanCalls { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <LibConfiguration/ConfigurationSource.h>
+#include <LibConfiguration/Roster.h>
+#include <LibCore/Clock.h>
+#include <LibLimit/Admission.h>
+#include <LibLimit/CustomerAccount.h>
+#include <LibLimit/LimitSettings.h>
+#include <LibSteering/Loan.h>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace Sapphire {
+
+/// One customer's figures at this VM, for metrics.
+struct LimitSnapshot
+{
+    CustomerId customer;
+    Share share;
+    double tokens { 0 };
+    double demandPerSecond { 0 };
+    std::uint64_t admitted { 0 };
+    std::uint64_t refused { 0 };
+    std::uint64_t borrowed { 0 };
+    std::uint64_t lent { 0 };
+    std::uint64_t loanCalls { 0 };
+};
+
+/// Admits requests within their customers' rates and bursts, over all VMs together. Safe to call from any thread.
+class CustomerLimiter final : public Lender
+{
+public:
+    CustomerLimiter(VmIncarnation self, Place place, const Clock &clock, const ConfigurationSource &configuration,
+                    const Roster &roster, LoanClient &loanClient, LimitSettings settings);
+
+    /// Takes a token for a request, borrowing if need be. Blocks until the request's deadline at most.
+    Admission admit(const CustomerId &customer, Deadline requestDeadline);
+
+    /// Takes an attempt as far as it gets without blocking. admit() drives this; an event loop can do so as well.
+    AdmissionStep advance(AdmissionAttempt &attempt, TimePoint now);
+    /// Ends the call that a Borrow step asked for.
+    void finishBorrow(const AdmissionAttempt &attempt, const AdmissionStep &step, const Outcome<Loan> &answer,
+                      TimePoint now);
+
+    [[nodiscard]] Result<Loan> lend(const CustomerId &customer, Tokens wanted, const VmIncarnation &borrower,
+                                    TimePoint now) override;
+
+    /// Returns the VMs that look-ups should list first, those of the own region before others.
+    std::vector<VmId> homeVms(const CustomerId &customer) const;
+    std::vector<LimitSnapshot> snapshot(TimePoint now) const;
+
+    /// Takes over changes of the roster. Called about once a second.
+    void refresh(TimePoint now);
+    VmIncarnation self() const;
+    /// Starts again with empty buckets under a new incarnation, after the own one was retired.
+    void changeIncarnation(Incarnation incarnation, TimePoint now);
+
+    /// For AllotmentKeeper: sets the own share. Returns whether the loans still out fit into it.
+    bool applyShare(const CustomerId &customer, Share share, TimePoint now);
+    Share share(const CustomerId &customer) const;
+    /// For AllotmentKeeper: tells which VMs hold shares.
+    void noteAllotment(const CustomerId &customer, const Allotment &allotment, TimePoint now);
+    /// For AllotmentKeeper: requests a second that this VM's share should serve.
+    double demand(const CustomerId &customer, TimePoint now) const;
+    std::vector<HomeCandidate> homes(const CustomerId &customer, TimePoint now) const;
+
+private:
+    using Lock = std::unique_lock<std::mutex>;
+
+    CustomerAccount &account(const CustomerRecord &record, TimePoint now) const;
+    CustomerAccount *findAccount(const CustomerId &customer, TimePoint now) const;
+    void loadCandidates(TimePoint now) const;
+    void updateHomes(const CustomerId &customer, CustomerAccount &account, TimePoint now) const;
+    void updateLenders(CustomerAccount &account) const;
+    Share initialShare() const;
+
+    AdmissionStep finished(CustomerAccount &account, Admission admission) const;
+    AdmissionStep borrowOrRefuse(CustomerAccount &account, AdmissionAttempt &attempt, TimePoint now);
+    bool canAsk(const CustomerAccount &account, const AdmissionAttempt &attempt,
+                const CustomerAccount::LenderCandidate &lender, TimePoint now) const;
+    AdmissionStep beginBorrow(CustomerAccount &account, AdmissionAttempt &attempt,
+                              const CustomerAccount::LenderCandidate &lender, TimePoint now) const;
+    Tokens batch(CustomerAccount &account, TimePoint now) const;
+    Deadline nextTokenAt(CustomerAccount &account, TimePoint now) const;
+    double tokensToKeep(CustomerAccount &account, TimePoint now) const;
+    Microseconds loanLifetime(const CustomerAccount &account) const;
+    bool isLocal(const VmId &vm) const;
+
+    const Place m_place;
+    const Clock &m_clock;
+    const ConfigurationSource &m_configuration;
+    const Roster &m_roster;
+    LoanClient &m_loanClient;
+    const LimitSettings m_settings;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_callEnded;
+    std::uint64_t m_endedCalls { 0 };
+    VmIncarnation m_self;
+    TimePoint m_startsAt; ///< No bucket fills earlier.
+    mutable std::map<CustomerId, CustomerAccount> m_accounts;
+    mutable std::vector<HomeCandidate> m_candidates;
+    mutable std::map<VmId, RegionId> m_regions;
+    mutable std::set<VmId> m_suspects;
+    mutable std::uint64_t m_candidateGeneration { 0 };
+    mutable std::size_t m_listedVms { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/AllotmentPolicy.cpp
@@ -0,0 +1,175 @@
+#include <LibSteering/AllotmentPolicy.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sapphire {
+
+namespace {
+
+// Part of the divided whole that is spread evenly, so that a region that was idle has tokens for its first requests.
+constexpr double evenPart = 0.1;
+
+struct Wish
+{
+    VmId vm;
+    double demand { 0 };
+    std::size_t order { 0 };
+};
+
+std::vector<Wish> wishesOf(const Allotment &current, const AllotmentView &view)
+{
+    std::vector<Wish> wishes;
+    for (std::size_t i = 0; i < view.homes.size(); ++i) {
+        const AllotmentEntry *entry = current.find(view.homes[i].vm);
+        wishes.push_back({ view.homes[i].vm, entry != nullptr ? entry->demand : 0, i });
+    }
+    std::stable_sort(wishes.begin(), wishes.end(), [](const Wish &left, const Wish &right) {
+        return left.demand != right.demand ? left.demand > right.demand : left.order < right.order;
+    });
+    return wishes;
+}
+
+bool returnShares(Allotment &allotment, const std::set<VmIncarnation> &returnable)
+{
+    return std::erase_if(allotment.entries,
+                         [&returnable](const AllotmentEntry &entry) {
+                             return returnable.contains(entry.process);
+                         })
+        > 0;
+}
+
+bool isDemandOff(const AllotmentEntry &entry, const AllotmentView &view, const AllotmentSettings &settings)
+{
+    const double difference = std::abs(view.ownDemand - entry.demand);
+    const double reference = std::max(entry.demand, view.ratePerSecond * settings.demandFloor);
+    return difference > settings.demandBand * reference;
+}
+
+void followDemand(AllotmentDecision &decision, const AllotmentView &view, const AllotmentSettings &settings)
+{
+    AllotmentEntry &own = *decision.next.find(view.self.vm);
+    if (view.isIntervalOver && isDemandOff(own, view, settings)) {
+        own.demand = view.ownDemand;
+    }
+    const std::map<VmId, Share> wantedShares = AllotmentPolicy::wantedShares(decision.next, view);
+    const Share wanted = wantedShares.at(view.self.vm);
+    const auto limit = static_cast<double>(wanted.value()) * (1 + settings.lowerBand);
+    const bool isWorthless = own.share.value() > 0 && own.share < AllotmentPolicy::leastShare(view.burst);
+    if (wanted < own.share
+        && (isWorthless || (view.isIntervalOver && static_cast<double>(own.share.value()) > limit))) {
+        own.share = wanted;
+        return;
+    }
+    const Share raise = std::min(wanted - own.share, decision.next.rest());
+    const bool isFirst = own.share.value() == 0;
+    if (raise.value() > 0 && own.share + raise >= AllotmentPolicy::leastShare(view.burst)
+        && (isFirst || raise >= settings.leastRaise)) {
+        own.share = own.share + raise;
+        decision.isUrgent = true;
+    }
+}
+
+} // namespace
+
+Share Allotment::total() const
+{
+    Share sum;
+    for (const AllotmentEntry &entry : entries) {
+        sum = sum + entry.share;
+    }
+    return sum;
+}
+
+const AllotmentEntry *Allotment::find(const VmId &vm) const
+{
+    const auto found = std::find_if(entries.begin(), entries.end(), [&vm](const AllotmentEntry &entry) {
+        return entry.process.vm == vm;
+    });
+    return found == entries.end() ? nullptr : &*found;
+}
+
+AllotmentEntry *Allotment::find(const VmId &vm)
+{
+    return const_cast<AllotmentEntry *>(std::as_const(*this).find(vm));
+}
+
+Share AllotmentPolicy::leastShare(double burst)
+{
+    if (burst < 1) {
+        return wholeShare;
+    }
+    return Share(static_cast<std::int64_t>(std::ceil(static_cast<double>(wholeShare.value()) / burst)));
+}
+
+std::map<VmId, Share> AllotmentPolicy::wantedShares(const Allotment &current, const AllotmentView &view)
+{
+    std::map<VmId, Share> shares;
+    std::vector<Wish> wishes = wishesOf(current, view);
+    const std::int64_t least = leastShare(view.burst).value();
+    const auto holders = std::min(wishes.size(), static_cast<std::size_t>(wholeShare.value() / least));
+    double sum = 0;
+    for (std::size_t i = 0; i < holders; ++i) {
+        sum += wishes[i].demand;
+    }
+    const std::int64_t spare = wholeShare.value() - least * static_cast<std::int64_t>(holders);
+    std::int64_t given = 0;
+    for (std::size_t i = 0; i < wishes.size(); ++i) {
+        if (i >= holders) {
+            shares[wishes[i].vm] = Share(0);
+            continue;
+        }
+        const double even = 1.0 / static_cast<double>(holders);
+        const double part = sum > 0 ? evenPart * even + (1 - evenPart) * wishes[i].demand / sum : even;
+        const auto extra = static_cast<std::int64_t>(std::floor(part * static_cast<double>(spare)));
+        shares[wishes[i].vm] = Share(least + extra);
+        given += least + extra;
+    }
+    if (holders > 0) {
+        // Rounding leaves a few parts per million.
+        shares[wishes.front().vm] = shares[wishes.front().vm] + Share(wholeShare.value() - given);
+    }
+    return shares;
+}
+
+AllotmentDecision AllotmentPolicy::decide(const Allotment &current, const AllotmentView &view,
+                                          const AllotmentSettings &settings)
+{
+    AllotmentDecision decision { current };
+    std::set<VmIncarnation> returnable = view.returnable;
+    returnable.erase(view.self);
+    decision.isReturn = returnShares(decision.next, returnable);
+    decision.isUrgent = decision.isReturn;
+    AllotmentEntry *own = decision.next.find(view.self.vm);
+    if (own != nullptr && own->process.incarnation > view.self.incarnation) {
+        // A newer process runs under this VM's id; this one has no say any more.
+        return AllotmentDecision { current };
+    }
+    if (own != nullptr && own->process != view.self) {
+        own->process = view.self;
+        decision.isTakeover = true;
+        decision.isUrgent = true;
+    }
+    const bool isHome = std::any_of(view.homes.begin(), view.homes.end(), [&view](const HomeCandidate &home) {
+        return home.vm == view.self.vm;
+    });
+    if (!isHome && own != nullptr && !decision.isTakeover) {
+        std::erase_if(decision.next.entries, [&view](const AllotmentEntry &entry) {
+            return entry.process == view.self;
+        });
+        decision.isUrgent = true;
+    }
+    if (isHome) {
+        if (own == nullptr) {
+            decision.next.entries.push_back({ view.self, Share(0), view.ownDemand });
+            decision.isUrgent = true;
+        }
+        if (!decision.isTakeover) {
+            followDemand(decision, view, settings);
+        }
+    }
+    decision.isChanged = decision.next != current;
+    return decision;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/HomeSet.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+
+#include <vector>
+
+namespace Sapphire {
+
+struct HomeCandidate
+{
+    VmId vm;
+    RegionId region;
+
+    friend auto operator<=>(const HomeCandidate &, const HomeCandidate &) = default;
+};
+
+struct HomeSetSettings
+{
+    /// A customer gets another home VM per region for each such number of requests a second in the fleet.
+    double requestsPerSecondPerHome { 200 };
+    /// The size shrinks only once the load is below this part of what the smaller set is meant for.
+    double shrinkFraction { 0.6 };
+    int most { 4 };
+};
+
+/// Chooses the VMs that hold a customer's shares, by rendezvous hashing. A smaller set of the same customer is
+/// contained in a larger one, so that VMs that disagree about the size still ask VMs that hold a share.
+class HomeSet
+{
+public:
+    /// Returns up to `size` VMs of each region, ranked within their region, regions in order of their names.
+    static std::vector<HomeCandidate> choose(const CustomerId &customer, const std::vector<HomeCandidate> &candidates,
+                                             int size);
+    /// Returns the size per region that follows from the load, given the current one.
+    static int nextSize(int current, double requestsPerSecond, double burst, int regions,
+                        const HomeSetSettings &settings);
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/TokenBucket.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+#include <LibCore/Ids.h>
+#include <LibSteering/Loan.h>
+
+#include <map>
+
+namespace Sapphire {
+
+/// The part of a customer's rate and burst that one VM may give out.
+///
+/// At any moment tokens in the bucket plus tokens lent and not yet expired are at most share × burst. With shares that
+/// sum to at most 1 over all VMs, at most burst tokens exist at the beginning of any window, and at most rate × window
+/// are added within it; so no window admits more than rate × window + burst. For the same reason a bucket whose
+/// capacity is below one token never rounds up to a whole one: n such buckets would hold n tokens, whatever the burst.
+/// AllotmentPolicy gives no share that is worth less than a token, so that a small customer has few and usable buckets.
+class TokenBucket
+{
+public:
+    /// A bucket adds no tokens before the given moment. It has to lie after the end of all loans that an earlier
+    /// process of the same VM may have made from the same share.
+    explicit TokenBucket(TimePoint startsAt = {}) : m_refilledAt(startsAt)
+    {
+    }
+
+    /// Sets rate, burst and share. Shrinking drops tokens at once, growing adds none.
+    void configure(double ratePerSecond, double burst, Share share, TimePoint now);
+
+    /// Takes one token if there is one.
+    bool take(TimePoint now);
+    /// Takes up to the given number of whole tokens for a loan that ends at the deadline.
+    Tokens lend(Tokens most, Deadline loanDeadline, TimePoint now);
+
+    double tokens(TimePoint now);
+    /// Returns whether the loans still out fit into the capacity; after shrinking that may take until they end.
+    bool isSettled(TimePoint now);
+    /// Returns when the given number of tokens is expected, never if the capacity does not allow it.
+    Deadline expectedAt(double wanted, TimePoint now);
+
+    Share share() const
+    {
+        return m_share;
+    }
+    double capacity() const;
+
+private:
+    void advance(TimePoint now);
+    void refill(TimePoint until);
+    double room() const;
+    double refillPerMicrosecond() const;
+
+    double m_ratePerSecond { 0 };
+    double m_burst { 0 };
+    Share m_share {};
+    double m_tokens { 0 };
+    double m_lent { 0 };
+    TimePoint m_refilledAt;
+    std::map<TimePoint, double> m_loanEnds;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/LibLimit/LimitSimulation.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <LibCore/ManualClock.h>
+#include <LibCore/RandomSource.h>
+#include <LibLimit/AllotmentKeeper.h>
+
+#include <Fakes/FakeTableService.h>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <queue>
+
+namespace Sapphire::LimitTest {
+
+/// Which faults happen in a run.
+struct Faults
+{
+    bool kills { true };
+    bool restartLoops { true };
+    bool freezes { true };
+    bool cuts { true };
+    bool outages { true };
+    bool lostAnswers { true };
+    bool rateChanges { true };
+    double messageLoss { 0.02 };
+};
+
+struct CustomerResult
+{
+    int requests { 0 };
+    int admitted { 0 };
+    int refused { 0 };
+    /// The largest number of admissions beyond rate × window + burst over all windows; at most 0 if the limit held.
+    double worstExcess { -1e9 };
+    std::uint64_t loanCalls { 0 };
+};
+
+/// A fleet of limiters in one thread whose messages, table calls and faults are events in simulated time.
+class LimitSimulation
+{
+public:
+    LimitSimulation(std::uint64_t seed, LimitSettings settings, Faults faults);
+    ~LimitSimulation();
+    void run(Milliseconds length);
+
+    /// Customers: "looks-up" asks home VMs, "sprays" uses every VM, both inside their rates; "greedy" sends five times
+    /// its rate to every VM.
+    std::map<CustomerId, CustomerResult> results;
+    int tableWrites() const;
+
+private:
+    class Process;
+    class ProcessTables;
+    class SharedRoster;
+    struct Caller;
+    struct Ledger;
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+
+        bool operator>(const Event &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void at(TimePoint time, std::function<void()> action);
+    void after(double seconds, std::function<void()> action);
+    TimePoint now() const;
+    double uniform(double least, double most);
+    bool isLucky(double probability);
+
+    void startProcess(std::size_t vm);
+    void poll(std::size_t vm, std::uint64_t generation);
+    void tick(std::size_t vm, std::uint64_t generation);
+    void scheduleFaults();
+    void kill(std::size_t vm, double downSeconds);
+    void freeze(std::size_t vm, double seconds);
+    void cut(int region, double seconds);
+    void retireIfStillAway(std::size_t vm, std::uint64_t generation);
+    void changeRate(const CustomerId &customer, double factor);
+
+    void scheduleArrivals(Caller &caller);
+    void arrive(Caller &caller);
+    std::size_t chooseVm(Caller &caller);
+    struct Request;
+    void drive(std::size_t vm, const std::shared_ptr<Request> &request);
+    void callLender(std::size_t vm, const std::shared_ptr<Request> &request, const AdmissionStep &step);
+    void endCall(std::size_t vm, const std::shared_ptr<Request> &request, const AdmissionStep &step,
+                 const Outcome<Loan> &answer);
+    void finish(const std::shared_ptr<Request> &request, const Admission &admission);
+    bool canTalk(std::size_t from, std::size_t to) const;
+    double delay(std::size_t from, std::size_t to);
+
+    struct Vm;
+    std::vector<Vm> m_vms;
+    ManualClock m_clock;
+    RandomSource m_random;
+    LimitSettings m_settings;
+    Faults m_faults;
+    FakeTableService m_tables;
+    Configuration m_truth;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::uint64_t m_order { 0 };
+    std::uint64_t m_generation { 0 };
+    TimePoint m_end {};
+    std::list<Caller> m_callers;
+    std::map<CustomerId, Ledger> m_ledgers;
+    std::unique_ptr<SharedRoster> m_roster;
+};
+
+} // namespace Sapphire::LimitTest
