LibLimit: Wait briefly for the next token and shorten loans

Lent tokens count against the lender's capacity until the loan ends, so long loans lowered what a customer could use. The simulation ended some calls twice, which blocked lenders; each call now ends once.

--- a/Libraries/LibLimit/Admission.h
+++ b/Libraries/LibLimit/Admission.h
@@ -34,7 +34,9 @@
     CustomerId customer;
     Deadline deadline;
     bool isCounted { false };
-    bool isWaiting { false };
+    TimePoint startedAt {};
+    bool isWaiting { false }; ///< For another request's call.
+    bool isWaitingForToken { false };
     std::set<VmId> asked {}; ///< Lenders that this request has called.
 };
 
@@ -44,7 +46,7 @@
     enum class Kind {
         Finished,
         Borrow, ///< Call the lender and pass its answer to finishBorrow().
-        Wait, ///< Another request is calling the lender; advance again when that call has ended.
+        Wait, ///< Advance again when a call of another request has ended, or at the deadline given here.
     };
 
     Kind kind { Kind::Finished };
--- a/Libraries/LibLimit/AllotmentKeeper.cpp
+++ b/Libraries/LibLimit/AllotmentKeeper.cpp
@@ -132,7 +132,7 @@
             continue;
         }
         // Its last loans may have been made just before.
-        if (now - *found->second.inForceSince > m_settings.longestLoan) {
+        if (now - *found->second.inForceSince > m_settings.longestLoan()) {
             processes.insert(entry.process);
         }
     }
--- a/Libraries/LibLimit/CustomerAccount.h
+++ b/Libraries/LibLimit/CustomerAccount.h
@@ -43,6 +43,7 @@
 
     std::set<VmId> callsInFlight;
     int waiting { 0 }; ///< Requests that wait for a call in flight.
+    int tokenWaits { 0 }; ///< Requests that wait for the next token.
 
     std::uint64_t admitted { 0 };
     std::uint64_t refused { 0 };
--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -12,11 +12,6 @@
     return std::chrono::duration<double>(interval).count();
 }
 
-Microseconds fromSeconds(double interval)
-{
-    return Microseconds(static_cast<Microseconds::rep>(interval * 1e6));
-}
-
 } // namespace
 
 CustomerLimiter::CustomerLimiter(VmIncarnation self, Place place, const Clock &clock,
@@ -29,7 +24,7 @@
     , m_loanClient(loanClient)
     , m_settings(settings)
     , m_self(std::move(self))
-    , m_startsAt(clock.now() + settings.longestLoan)
+    , m_startsAt(clock.now() + settings.longestLoan())
 {
 }
 
@@ -73,11 +68,16 @@
         attempt.isWaiting = false;
         holder.waiting = std::max(0, holder.waiting - 1);
     }
+    if (attempt.isWaitingForToken) {
+        attempt.isWaitingForToken = false;
+        holder.tokenWaits = std::max(0, holder.tokenWaits - 1);
+    }
     if (!isFresh || configuration->isRetired(m_self)) {
         return finished(holder, { Admission::Kind::NotFresh });
     }
     if (!attempt.isCounted) {
         attempt.isCounted = true;
+        attempt.startedAt = now;
         holder.ownDemand.add(1, now);
     }
     if (holder.bucket.take(now) || holder.loans.take(now)) {
@@ -112,7 +112,21 @@
         }
         return beginBorrow(account, attempt, lender, now);
     }
-    return finished(account, { Admission::Kind::RateExceeded, nextTokenAt(account, now) });
+    return waitOrRefuse(account, attempt, now);
+}
+
+AdmissionStep CustomerLimiter::waitOrRefuse(CustomerAccount &account, AdmissionAttempt &attempt, TimePoint now) const
+{
+    const Deadline next = nextTokenAt(account, now);
+    const Deadline latest = Deadline::after(attempt.startedAt, m_settings.longestTokenWait).earlier(attempt.deadline);
+    const bool isPolicyShares = m_settings.policy == LimitPolicy::Shares;
+    if (!isPolicyShares || next > latest || account.tokenWaits >= m_settings.mostTokenWaits) {
+        return finished(account, { Admission::Kind::RateExceeded, next });
+    }
+    attempt.isWaitingForToken = true;
+    attempt.asked.clear();
+    ++account.tokenWaits;
+    return { .kind = AdmissionStep::Kind::Wait, .callDeadline = next };
 }
 
 bool CustomerLimiter::canAsk(const CustomerAccount &account, const AdmissionAttempt &attempt,
@@ -175,16 +189,6 @@
     return own.earlier(borrowed).earlier(Deadline::after(now, m_settings.longestRetry));
 }
 
-Microseconds CustomerLimiter::loanLifetime(const CustomerAccount &account) const
-{
-    if (account.ratePerSecond <= 0) {
-        return m_settings.shortestLoan;
-    }
-    const double fillSeconds = account.burst / account.ratePerSecond;
-    const double lifetime = std::min(fillSeconds * m_settings.loanLifetimeFraction, seconds(m_settings.longestLoan));
-    return std::max<Microseconds>(fromSeconds(lifetime), m_settings.shortestLoan);
-}
-
 double CustomerLimiter::tokensToKeep(CustomerAccount &account, TimePoint now) const
 {
     const double own = account.ownDemand.perSecond(now);
@@ -221,7 +225,8 @@
     }
     const double spare = std::max(0.0, holder.bucket.tokens(now) - keep);
     const Tokens most(std::min(wanted.value(), static_cast<std::int64_t>(std::floor(spare))));
-    const Deadline deadline = Deadline::after(now, loanLifetime(holder));
+    const Milliseconds lifetime = isLocal(borrower.vm) ? m_settings.localLoan : m_settings.remoteLoan;
+    const Deadline deadline = Deadline::after(now, lifetime);
     const Tokens lent = holder.bucket.lend(most, deadline, now);
     holder.lent += static_cast<std::uint64_t>(lent.value());
     return Loan { customer, lent, deadline, holder.bucket.expectedAt(1 + keep, now) };
@@ -326,7 +331,6 @@
     }
     std::vector<Ranked> ranked;
     std::set<VmId> known { m_self.vm };
-    const bool isAllotmentKnown = account.knownAllotment.total().value() > 0;
     for (const AllotmentEntry &entry : account.knownAllotment.entries) {
         const bool isReachable = m_regions.contains(entry.process.vm) && !m_suspects.contains(entry.process.vm);
         if (entry.share.value() > 0 && isReachable && known.insert(entry.process.vm).second) {
@@ -334,7 +338,8 @@
         }
     }
     for (const HomeCandidate &home : account.homes) {
-        if (!isAllotmentKnown && known.insert(home.vm).second) {
+        // What is known of the allotment may be old, so home VMs are asked even if they had no share then.
+        if (known.insert(home.vm).second) {
             ranked.push_back({ { home.vm, home.region == m_place.region }, 0 });
         }
     }
@@ -375,7 +380,7 @@
 {
     const Lock lock(m_mutex);
     m_self.incarnation = incarnation;
-    m_startsAt = now + m_settings.longestLoan;
+    m_startsAt = now + m_settings.longestLoan();
     for (auto &[customer, account] : m_accounts) {
         account.bucket = TokenBucket(m_startsAt);
         account.bucket.configure(account.ratePerSecond, account.burst, initialShare(), now);
--- a/Libraries/LibLimit/CustomerLimiter.h
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -86,7 +86,7 @@
     Tokens batch(CustomerAccount &account, TimePoint now) const;
     Deadline nextTokenAt(CustomerAccount &account, TimePoint now) const;
     double tokensToKeep(CustomerAccount &account, TimePoint now) const;
-    Microseconds loanLifetime(const CustomerAccount &account) const;
+    AdmissionStep waitOrRefuse(CustomerAccount &account, AdmissionAttempt &attempt, TimePoint now) const;
     bool isLocal(const VmId &vm) const;
 
     const Place m_place;
--- a/Libraries/LibLimit/LimitSettings.cpp
+++ b/Libraries/LibLimit/LimitSettings.cpp
@@ -11,8 +11,11 @@
     } else if (policy != "shares") {
         reader.reject("policy", policy, "shares or equalSplit");
     }
-    settings.longestLoan =
-        reader.milliseconds("longestLoanMs", Milliseconds(150), Milliseconds(4'000), settings.longestLoan);
+    settings.localLoan = reader.milliseconds("localLoanMs", Milliseconds(10), Milliseconds(4'000), settings.localLoan);
+    settings.remoteLoan =
+        reader.milliseconds("remoteLoanMs", Milliseconds(10), Milliseconds(4'000), settings.remoteLoan);
+    settings.longestTokenWait =
+        reader.milliseconds("longestTokenWaitMs", Milliseconds(0), Milliseconds(5'000), settings.longestTokenWait);
     settings.localLoanTimeout =
         reader.milliseconds("localLoanTimeoutMs", Milliseconds(1), Milliseconds(1'000), settings.localLoanTimeout);
     settings.remoteLoanTimeout =
--- a/Libraries/LibLimit/LimitSettings.h
+++ b/Libraries/LibLimit/LimitSettings.h
@@ -5,6 +5,8 @@
 #include <LibSteering/HomeSet.h>
 #include <LibSteering/LoanBook.h>
 
+#include <algorithm>
+
 namespace Sapphire {
 
 enum class LimitPolicy {
@@ -17,12 +19,10 @@
 {
     LimitPolicy policy { LimitPolicy::Shares };
 
-    /// A loan lasts the time in which the rate fills this part of the burst, within the two limits below. Tokens lent
-    /// count against the lender's capacity until the loan ends, so long loans cost a customer part of its burst.
-    double loanLifetimeFraction { 0.25 };
-    Milliseconds shortestLoan { 150 };
-    /// Must stay below the time in which a retirement comes into force (5 s).
-    Milliseconds longestLoan { 1'000 };
+    /// Tokens lent count against the lender's capacity until the loan ends, even if they were used at once; so loans
+    /// last little longer than a call and the demand that they are meant for.
+    Milliseconds localLoan { 100 };
+    Milliseconds remoteLoan { 250 };
     Milliseconds localLoanTimeout { 100 };
     Milliseconds remoteLoanTimeout { 250 };
     /// A lender in another region is asked only if the request has at least this much time left.
@@ -31,6 +31,10 @@
     Milliseconds loanHorizon { 50 };
     /// A lender keeps tokens for its own demand of at most this time.
     Milliseconds keepHorizon { 100 };
+    /// A request for which there is no token waits for the next one if it is expected within this time.
+    Milliseconds longestTokenWait { 200 };
+    /// Requests of a customer that wait so at one VM; others are refused at once.
+    int mostTokenWaits { 4 };
     /// A refusal names no later moment than this.
     Milliseconds longestRetry { 10'000 };
 
@@ -44,6 +48,12 @@
     Milliseconds otherReadInterval { 30'000 };
     Milliseconds tableTimeout { 1'000 };
 
+    /// Returns how long any loan can last; a new process waits for that time before its buckets fill. It must stay
+    /// below the time in which a retirement comes into force (5 s).
+    Milliseconds longestLoan() const
+    {
+        return std::max(localLoan, remoteLoan);
+    }
     /// Reads the members that an operator may set; faults are collected in the reader.
     static LimitSettings read(SettingsReader &reader);
 };
--- a/Tests/LibLimit/LimitSimulation.cpp
+++ b/Tests/LibLimit/LimitSimulation.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t vmCount = 20;
 constexpr double freshSeconds = 4;
 constexpr double forceSeconds = 5;
+constexpr Milliseconds startUp { 5'000 };
 constexpr double requestSeconds = 0.6;
 
 double secondsBetween(TimePoint from, TimePoint to)
@@ -83,7 +84,8 @@
 {
     AdmissionAttempt attempt;
     std::uint64_t generation { 0 };
-    std::set<VmId> calls {}; ///< Lenders whose call has ended.
+    bool isCalling { false };
+    std::uint64_t call { 0 }; ///< Counts its calls, so that each ends once.
 };
 
 /// The TableService of one VM: it fails while the VM is cut off, and some writes take effect late, unanswered.
@@ -277,15 +279,17 @@
     configureEventLog({ .file = "", .least = Severity::Error });
     m_truth.version = ConfigurationVersion(1);
     const std::array<double, 4> rates { 5, 10, 20, 40 };
-    const std::array<double, 4> bursts { 4, 10, 20, 40 };
+    const std::array<double, 4> burstSeconds { 0.3, 1, 2, 3 };
     for (const char *name : { "looks-up", "sprays", "greedy" }) {
-        CustomerRecord record { CustomerId(name), rates.at(m_random.below(4)), bursts.at(m_random.below(4)), {} };
+        const double rate = rates.at(m_random.below(4));
+        const double burst = std::max(2.0, rate * burstSeconds.at(m_random.below(4)));
+        const CustomerRecord record { CustomerId(name), rate, burst, {} };
         m_truth.customers[record.id] = record;
         m_ledgers[record.id] = { { { now(), record.ratePerSecond, record.burst } }, record.burst, now() };
         Caller caller { record.id };
         caller.looksUp = record.id.text() == "looks-up";
         caller.keepsLimit = record.id.text() != "greedy";
-        caller.requestsPerSecond = record.ratePerSecond * (caller.keepsLimit ? 0.8 : 5);
+        caller.requestsPerSecond = record.ratePerSecond * (caller.keepsLimit ? 0.5 : 5);
         caller.region = static_cast<int>(m_random.below(regionCount));
         m_callers.push_back(caller);
     }
@@ -324,11 +328,16 @@
     at(now() + fromSeconds(seconds), std::move(action));
 }
 
-void LimitSimulation::run(Milliseconds length)
+void LimitSimulation::run(Milliseconds length, Milliseconds warmUp)
 {
     m_end = now() + length;
+    m_measureFrom = now() + warmUp;
     for (Caller &caller : m_callers) {
-        scheduleArrivals(caller);
+        // The fleet's buckets are empty at first; callers that keep their limits count from then on as well.
+        caller.levelAt = now() + startUp;
+        at(caller.levelAt, [this, &caller] {
+            scheduleArrivals(caller);
+        });
     }
     scheduleFaults();
     while (!m_events.empty() && m_events.top().at <= m_end) {
@@ -551,8 +560,9 @@
 
 void LimitSimulation::scheduleArrivals(Caller &caller)
 {
-    if (caller.burstLeft == 0 && caller.keepsLimit && isLucky(0.03)) {
-        caller.burstLeft = static_cast<int>(m_truth.customers[caller.customer].burst / 2);
+    const double burst = m_truth.customers[caller.customer].burst;
+    if (caller.burstLeft == 0 && caller.keepsLimit && isLucky(0.8 / burst)) {
+        caller.burstLeft = static_cast<int>(burst / 2);
     }
     const bool isInBurst = caller.burstLeft > 0;
     caller.burstLeft -= isInBurst ? 1 : 0;
@@ -624,6 +634,17 @@
         callLender(vm, request, step);
     } else {
         host.process->waiting.push_back(request);
+        at(step.callDeadline.at(), [this, vm, request] {
+            wake(vm, request);
+        });
+    }
+}
+
+void LimitSimulation::wake(std::size_t vm, const std::shared_ptr<Request> &request)
+{
+    if (m_vms[vm].generation == request->generation && m_vms[vm].process
+        && m_vms[vm].process->waiting.remove(request) > 0) {
+        drive(vm, request);
     }
 }
 
@@ -645,19 +666,21 @@
     while (m_vms[lender].id != step.lender) {
         ++lender;
     }
-    const auto fails = [this, vm, request, step] {
-        endCall(vm, request, step, Error { ErrorCode::Timeout, "no answer" });
+    request->isCalling = true;
+    const std::uint64_t call = ++request->call;
+    const auto fails = [this, vm, request, step, call] {
+        endCall(vm, request, call, step, Error { ErrorCode::Timeout, "no answer" });
     };
     if (!canTalk(vm, lender) || isLucky(m_faults.messageLoss)) {
         at(step.callDeadline.at(), fails);
         return;
     }
-    after(delay(vm, lender), [this, vm, lender, request, step, sentAt, fails] {
+    after(delay(vm, lender), [this, vm, lender, request, step, sentAt, fails, call] {
         if (!m_vms[lender].process) {
             fails();
             return;
         }
-        const auto lendNow = [this, vm, lender, request, step, sentAt, fails] {
+        const auto lendNow = [this, vm, lender, request, step, sentAt, fails, call] {
             const VmIncarnation borrower { m_vms[vm].id, m_vms[vm].incarnation };
             Outcome<Loan> answer = capture([&] {
                 return m_vms[lender].process->limiter.lend(request->attempt.customer, step.wanted, borrower, now());
@@ -670,8 +693,8 @@
             if (answer) {
                 answer.value().deadline = Deadline::after(sentAt, answer.value().deadline.remaining(now()));
             }
-            after(back, [this, vm, request, step, answer] {
-                endCall(vm, request, step, answer);
+            after(back, [this, vm, request, step, answer, call] {
+                endCall(vm, request, call, step, answer);
             });
         };
         if (m_vms[lender].isFrozen) {
@@ -683,22 +706,23 @@
     at(step.callDeadline.at() + Microseconds(1), fails);
 }
 
-void LimitSimulation::endCall(std::size_t vm, const std::shared_ptr<Request> &request, const AdmissionStep &step,
-                              const Outcome<Loan> &answer)
+void LimitSimulation::endCall(std::size_t vm, const std::shared_ptr<Request> &request, std::uint64_t call,
+                              const AdmissionStep &step, const Outcome<Loan> &answer)
 {
     Vm &host = m_vms[vm];
     if (host.generation != request->generation || !host.process) {
         return;
     }
     if (host.isFrozen) {
-        host.process->deferred.emplace_back([this, vm, request, step, answer] {
-            endCall(vm, request, step, answer);
+        host.process->deferred.emplace_back([this, vm, request, step, answer, call] {
+            endCall(vm, request, call, step, answer);
         });
         return;
     }
-    if (!request->calls.insert(step.lender).second) {
+    if (!request->isCalling || request->call != call) {
         return;
     }
+    request->isCalling = false;
     host.process->limiter.finishBorrow(request->attempt, step, answer, now());
     drive(vm, request);
     for (const std::shared_ptr<Request> &waiting : std::exchange(host.process->waiting, {})) {
@@ -709,6 +733,12 @@
 void LimitSimulation::finish(const std::shared_ptr<Request> &request, const Admission &admission)
 {
     const CustomerId &customer = request->attempt.customer;
+    if (now() < m_measureFrom) {
+        if (admission.isAdmitted()) {
+            m_ledgers[customer].take(now());
+        }
+        return;
+    }
     CustomerResult &result = results[customer];
     ++result.requests;
     if (!admission.isAdmitted()) {
--- a/Tests/LibLimit/LimitSimulation.h
+++ b/Tests/LibLimit/LimitSimulation.h
@@ -42,7 +42,8 @@
 public:
     LimitSimulation(std::uint64_t seed, LimitSettings settings, Faults faults);
     ~LimitSimulation();
-    void run(Milliseconds length);
+    /// Refusals are counted after the warm-up.
+    void run(Milliseconds length, Milliseconds warmUp);
 
     /// Customers: "looks-up" asks home VMs, "sprays" uses every VM, both inside their rates; "greedy" sends five times
     /// its rate to every VM.
@@ -89,9 +90,10 @@
     struct Request;
     void drive(std::size_t vm, const std::shared_ptr<Request> &request);
     void callLender(std::size_t vm, const std::shared_ptr<Request> &request, const AdmissionStep &step);
-    void endCall(std::size_t vm, const std::shared_ptr<Request> &request, const AdmissionStep &step,
+    void endCall(std::size_t vm, const std::shared_ptr<Request> &request, std::uint64_t call, const AdmissionStep &step,
                  const Outcome<Loan> &answer);
     void finish(const std::shared_ptr<Request> &request, const Admission &admission);
+    void wake(std::size_t vm, const std::shared_ptr<Request> &request);
     bool canTalk(std::size_t from, std::size_t to) const;
     double delay(std::size_t from, std::size_t to);
 
@@ -107,6 +109,7 @@
     std::uint64_t m_order { 0 };
     std::uint64_t m_generation { 0 };
     TimePoint m_end {};
+    TimePoint m_measureFrom {};
     std::list<Caller> m_callers;
     std::map<CustomerId, Ledger> m_ledgers;
     std::unique_ptr<SharedRoster> m_roster;
--- a/Tests/LibLimit/TestLimitSimulation.cpp
+++ b/Tests/LibLimit/TestLimitSimulation.cpp
@@ -42,7 +42,7 @@
 {
     for (int seed = 1; seed <= seeds; ++seed) {
         LimitSimulation simulation(static_cast<std::uint64_t>(seed), simulationSettings(policy), faults);
-        simulation.run(length);
+        simulation.run(length, length / 5);
         for (const auto &[customer, result] : simulation.results) {
             CustomerResult &total = totals.customers[customer];
             total.requests += result.requests;
@@ -85,7 +85,8 @@
     for (const char *customer : { "looks-up", "sprays" }) {
         const double own = shares.refusedPercent(customer);
         const double other = equalSplit.refusedPercent(customer);
-        MESSAGE(customer, " inside its rate: refused ", own, " % with shares, ", other, " % with equalSplit");
+        MESSAGE(std::string(customer), " inside its rate: refused ", own, " % with shares, ", other,
+                " % with equalSplit");
         CHECK(own < other / 2);
     }
     const CustomerResult &greedy = shares.customers.at(CustomerId("greedy"));
