--- /dev/null
+++ b/Libraries/LibPlatform/DeadlineSocket.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include <cstddef>
+
+namespace Sapphire {
+
+/// A TCP socket on which all waits together end at one deadline. POCO's own timeouts start anew with each read, so a
+/// peer that sends one byte at a time could hold a thread for as long as it likes.
+class DeadlineSocket final : public Poco::Net::StreamSocketImpl
+{
+public:
+    /// Sets the deadline of the following reads and writes and sets the byte counts to zero.
+    void start(Deadline deadline);
+    std::size_t bytesSent() const;
+    std::size_t bytesReceived() const;
+    /// Returns whether the peer has closed the connection or sent something unasked. Never waits.
+    bool hasInput();
+
+    /// Throws Poco::TimeoutException at the deadline.
+    int sendBytes(const void *buffer, int length, int flags) override;
+    /// Throws Poco::TimeoutException at the deadline.
+    int receiveBytes(void *buffer, int length, int flags) override;
+
+private:
+    ~DeadlineSocket() override = default;
+
+    void waitFor(short events);
+
+    Deadline m_deadline;
+    std::size_t m_bytesSent { 0 };
+    std::size_t m_bytesReceived { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformConnection.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+#include <LibCore/Result.h>
+#include <LibPlatform/DeadlineSocket.h>
+#include <LibPlatform/PlatformExchange.h>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstddef>
+#include <memory>
+
+namespace Sapphire {
+
+/// One kept-alive HTTP connection to the platform that carries one request at a time and never reconnects by itself.
+class PlatformConnection final : private Poco::Net::HTTPClientSession
+{
+public:
+    /// Connects. Fails with Unavailable or Timeout, not run.
+    [[nodiscard]] static Result<std::unique_ptr<PlatformConnection>> create(const Poco::Net::SocketAddress &address,
+                                                                            Deadline deadline);
+    ~PlatformConnection() override = default;
+
+    /// Sends the request and reads the complete answer. Fails with Timeout or Unavailable; a write of which any byte
+    /// was sent may have run. After a failure the connection must be dropped.
+    [[nodiscard]] Result<PlatformAnswer> exchange(const PlatformRequest &request, std::size_t largestAnswer,
+                                                  Deadline deadline);
+
+    /// Returns whether the last answer ended completely and the platform holds the connection open.
+    bool isReusable();
+    /// Returns whether any byte of the answer to the last request arrived.
+    bool hasReceivedAnything() const;
+    /// Returns when the last exchange ended.
+    TimePoint lastUse() const;
+
+private:
+    PlatformConnection(DeadlineSocket *socket, const Poco::Net::SocketAddress &address);
+
+    void connect(const Poco::Net::SocketAddress &address) override;
+    bool mustReconnect() const override;
+    int write(const char *buffer, std::streamsize length) override;
+
+    void send(const PlatformRequest &request);
+    PlatformAnswer receive(std::size_t largestAnswer);
+
+    DeadlineSocket *m_deadlineSocket; ///< Owned by the session's socket.
+    std::string m_address;
+    bool m_isComplete { false };
+    TimePoint m_lastUse;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformExchange.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+namespace Sapphire {
+
+/// One HTTP request to the platform.
+struct PlatformRequest
+{
+    std::string method;
+    /// Path and query, already percent-encoded.
+    std::string path;
+    /// Header of the condition, "If-Match" or "If-None-Match"; empty for an unconditional request.
+    std::string conditionName;
+    std::string conditionValue;
+    std::string body;
+
+    bool isWrite() const
+    {
+        return method != "GET";
+    }
+};
+
+/// The platform's complete answer.
+struct PlatformAnswer
+{
+    int status { 0 };
+    std::string entityTag;
+    std::string body;
+};
+
+} // namespace Sapphire
