Tests: Add the platform stand-in

Cause: clients, integration tests and demonstrations need the platform's protocol with its faults.

Before: no server to test against. After: platform-stand-in serves tables with entity tags and conditional requests, transactions, objects and the VM list from memory; control endpoints set latency, outages, lost answers and the list's lag, and report the rates against the stated ceilings.

--- /dev/null
+++ b/Tests/StandIns/Platform/PlatformServer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <StandIns/Platform/PlatformServerParts.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Sapphire {
+
+struct PlatformServerSettings
+{
+    /// "ip:port"; port 0 takes any free one.
+    std::string address { "127.0.0.1:0" };
+    /// Each connection takes a thread while it is open.
+    int threads { 1000 };
+    std::uint64_t readCeiling { 2000 };
+    std::uint64_t writeCeiling { 300 };
+};
+
+/// The platform stand-in: table service, object store and VM list in memory, with faults by control endpoints.
+class PlatformServer
+{
+public:
+    /// Starts to listen. Fails with InvalidArgument or Unavailable if the address cannot be used.
+    [[nodiscard]] static Result<std::unique_ptr<PlatformServer>> create(const PlatformServerSettings &settings);
+    /// Ends all connections.
+    ~PlatformServer();
+    PlatformServer(const PlatformServer &) = delete;
+    PlatformServer &operator=(const PlatformServer &) = delete;
+
+    /// Returns "ip:port".
+    std::string address() const;
+    /// For tests in the same process; safe to use while the server runs.
+    PlatformServerParts &parts();
+
+private:
+    struct Http;
+
+    PlatformServer();
+
+    PlatformServerParts m_parts;
+    std::unique_ptr<Http> m_http;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/StandIns/Platform/VmList.cpp
@@ -0,0 +1,82 @@
+#include <StandIns/Platform/VmList.h>
+
+#include <utility>
+
+namespace Sapphire {
+
+namespace {
+
+void apply(std::map<VmId, ListedVm> &vms, const VmId &vm, const std::optional<ListedVm> &entry)
+{
+    if (entry) {
+        vms[vm] = *entry;
+    } else {
+        vms.erase(vm);
+    }
+}
+
+} // namespace
+
+void VmList::setLag(Microseconds lag)
+{
+    const std::lock_guard guard(m_mutex);
+    m_lag = lag;
+}
+
+void VmList::put(const ListedVm &vm, TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    change(vm.vm, vm, now);
+}
+
+void VmList::remove(const VmId &vm, TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    change(vm, std::nullopt, now);
+}
+
+bool VmList::markLeaving(const VmId &vm, TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    const auto found = m_actual.find(vm);
+    if (found == m_actual.end()) {
+        return false;
+    }
+    ListedVm leaving = found->second;
+    leaving.isLeaving = true;
+    change(vm, std::move(leaving), now);
+    return true;
+}
+
+std::vector<ListedVm> VmList::shown(TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    applyDue(now);
+    std::vector<ListedVm> vms;
+    for (const auto &[id, vm] : m_shown) {
+        vms.push_back(vm);
+    }
+    return vms;
+}
+
+void VmList::change(const VmId &vm, std::optional<ListedVm> entry, TimePoint now)
+{
+    apply(m_actual, vm, entry);
+    // A change never overtakes an earlier one, even if the lag was shortened between them.
+    Deadline showsAt = Deadline::after(now, m_lag);
+    if (!m_pending.empty() && m_pending.back().showsAt > showsAt) {
+        showsAt = m_pending.back().showsAt;
+    }
+    m_pending.push_back({ showsAt, vm, std::move(entry) });
+}
+
+void VmList::applyDue(TimePoint now)
+{
+    while (!m_pending.empty() && m_pending.front().showsAt.hasPassed(now)) {
+        const Change &due = m_pending.front();
+        apply(m_shown, due.vm, due.entry);
+        m_pending.pop_front();
+    }
+}
+
+} // namespace Sapphire
