LibTarget: Run one request at one target over pooled connections

A caller must get the complete answer to its own request, and a refusal that says not run must be true. POCO's HTTPClientSession was ruled out: its waits can't be interrupted for a caller that goes away, and its chunked stream takes a connection that ends within a chunk for the end of the body. POCO's sockets and message classes are used with own framing. Tests run against the target stand-in and scripted targets.

--- /dev/null
+++ b/Libraries/LibTarget/ChunkedDecoder.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Result.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace Sapphire {
+
+/// Decodes the chunked transfer coding (RFC 9112, section 7.1). POCO's chunked stream is not used because
+/// it takes a connection that ends within a chunk for the end of the body.
+class ChunkedDecoder
+{
+public:
+    /// What one call of decode() did.
+    struct Progress
+    {
+        std::size_t taken { 0 }; ///< Input bytes used up.
+        std::size_t produced { 0 }; ///< Bytes written to the output.
+    };
+
+    /// Decodes until the input is used up, the output is full or the body has ended.
+    /// Fails with DataLoss if the input breaks the coding.
+    [[nodiscard]] Result<Progress> decode(std::span<const char> input, std::span<char> output);
+    bool isAtEnd() const
+    {
+        return m_state == State::End;
+    }
+
+private:
+    enum class State {
+        Size,
+        Extension,
+        SizeEnd,
+        Data,
+        DataEnd,
+        DataLineEnd,
+        TrailerStart,
+        TrailerLine,
+        TrailerLineEnd,
+        LastLineEnd,
+        End,
+    };
+
+    /// Takes one byte outside the data.
+    Result<void> step(char byte);
+    Result<void> takeSizeDigit(char byte);
+    Result<void> endSizeLine();
+
+    State m_state { State::Size };
+    std::uint64_t m_left { 0 };
+    int m_digits { 0 };
+    std::size_t m_overhead { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibTarget/TargetExchange.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibTarget/TargetAttempt.h>
+
+namespace Sapphire {
+
+/// Runs requests at one target, one attempt for each. Safe to use from any thread.
+class TargetExchange final : public RequestHandler
+{
+public:
+    /// The pool must outlive the exchange.
+    TargetExchange(AttemptTarget target, const Clock &clock);
+
+    ExchangeReport handle(const RequestHead &head, BodySource &body, AnswerSink &sink) override;
+    /// As handle(), and tells what the attempt showed of the target.
+    AttemptReport run(const RequestHead &head, BodySource &body, AnswerSink &sink);
+
+private:
+    AttemptTarget m_target;
+    const Clock &m_clock;
+};
+
+} // namespace Sapphire
