LibFleet: Add the exchange between the VMs, its server and its client

Membership keeps the own availability zone in full and other zones as summaries. The distances on the own zone's ring grow with its size: with the fixed distances 1, 2 and 4 a ring of 37 VMs needs five exchanges, so that a sign of life arrives older than the suspicion limit of 3 s. Statements are taken from responses only, since nobody knows how long a request was under way.

--- /dev/null
+++ b/Libraries/LibFleet/ExchangeBuilder.cpp
@@ -0,0 +1,563 @@
+#include <LibFleet/ExchangeBuilder.h>
+
+#include <LibCore/Hash.h>
+#include <LibFleet/WireCodec.h>
+
+#include <algorithm>
+
+namespace Sapphire {
+
+namespace {
+
+/// Keeps the keys of different kinds of items apart.
+enum class ItemKind : std::uint64_t {
+    Member = 1,
+    Summary,
+    Report,
+    Room,
+    Suspect,
+};
+
+constexpr unsigned kindShift = 56;
+/// Time for a peer to send a summary or directory that it was asked for, before another peer is asked.
+constexpr Milliseconds askAgainAfter { 2'000 };
+/// A moment within this of the peer's own is not worth sending.
+constexpr Milliseconds heartbeatLead { 100 };
+
+PeerRecord::ItemKey itemKey(ItemKind kind, std::uint64_t hash)
+{
+    return (hash << (64 - kindShift) >> (64 - kindShift)) | (static_cast<std::uint64_t>(kind) << kindShift);
+}
+
+PeerRecord::ItemKey itemKey(ItemKind kind, const std::string &first, const std::string &second)
+{
+    return itemKey(kind, rendezvousRank(first, second));
+}
+
+PeerRecord::ItemKey summaryItem(const Place &place)
+{
+    return itemKey(ItemKind::Summary, place.region.text(), place.availabilityZone.text());
+}
+
+PeerRecord::ItemKey reportItem(const TargetReport &report)
+{
+    return itemKey(ItemKind::Report, report.target.text(), report.observer.text());
+}
+
+PeerRecord::ItemKey roomItem(const RegionRoom &room)
+{
+    return itemKey(ItemKind::Room, room.region.text(), room.service.text());
+}
+
+PeerRecord::ItemKey suspectItem(const CrashSuspect &suspect)
+{
+    return itemKey(ItemKind::Suspect, stableHash(suspect.fingerprint.text()));
+}
+
+/// Reduces a load to four steps, so that small changes are no news.
+std::uint64_t loadStep(int busy, int slots)
+{
+    constexpr int steps = 4;
+    return slots <= 0 ? 0 : static_cast<std::uint64_t>(std::clamp(busy * steps / slots, 0, steps * 4));
+}
+
+/// Returns a number that changes when a report is worth sending before its refresh.
+std::uint64_t contentOf(const TargetReport &report)
+{
+    constexpr std::uint64_t factor = 64;
+    const std::uint64_t step = loadStep(report.inFlight, report.slots);
+    return (static_cast<std::uint64_t>(report.slots) * factor + step) * factor
+        + static_cast<std::uint64_t>(report.health);
+}
+
+std::uint64_t contentOf(const RegionRoom &room)
+{
+    constexpr std::uint64_t factor = 64;
+    return static_cast<std::uint64_t>(room.slots) * factor + loadStep(room.busy, room.slots);
+}
+
+WireKey regionKey(const RegionId &region)
+{
+    return static_cast<WireKey>(stableHash(region.text()));
+}
+
+bool isNews(const std::optional<PeerRecord::Token> &held, std::uint64_t content, TimePoint at, Milliseconds refresh)
+{
+    return !held || held->content != content || at - held->at >= refresh;
+}
+
+} // namespace
+
+/// An update in the project's own types; it was malformed in no part.
+struct ExchangeBuilder::Message
+{
+    Statement own;
+    Place place;
+    std::vector<Statement> statements;
+    std::vector<FleetMember> members;
+    std::vector<std::pair<WireKey, TimePoint>> membersAlive;
+    std::vector<ZoneSummary> summaries;
+    std::vector<std::pair<WireKey, TimePoint>> summariesAlive;
+    std::vector<ZoneDirectory> directories;
+    std::vector<LogEntry> entries;
+    std::vector<TargetReport> reports;
+    std::vector<RegionRoom> rooms;
+    std::vector<CrashSuspect> suspects;
+
+    static Result<Message> create(const wire::Update &update, TimePoint measuredFrom);
+
+private:
+    template<typename Repeated, typename Item>
+    static Result<void> decodeAll(const Repeated &parts, std::vector<Item> &items, TimePoint measuredFrom)
+    {
+        items.reserve(static_cast<std::size_t>(parts.size()));
+        for (const auto &part : parts) {
+            BOOST_LEAF_AUTO(item, decode(part, measuredFrom));
+            items.push_back(std::move(item));
+        }
+        return {};
+    }
+    template<typename Repeated, typename Item>
+    static Result<void> decodeAll(const Repeated &parts, std::vector<Item> &items)
+    {
+        for (const auto &part : parts) {
+            BOOST_LEAF_AUTO(item, decode(part));
+            items.push_back(std::move(item));
+        }
+        return {};
+    }
+    static Result<void> decodeAges(const wire::Heartbeats &beats, std::vector<std::pair<WireKey, TimePoint>> &items,
+                                   TimePoint measuredFrom)
+    {
+        if (beats.keys_size() != beats.ages_size()) {
+            return fail(ErrorCode::InvalidArgument, "a message of another VM has more keys than ages or fewer");
+        }
+        for (int i = 0; i < beats.keys_size(); ++i) {
+            items.emplace_back(beats.keys(i), decodeAge(beats.ages(i), measuredFrom));
+        }
+        return {};
+    }
+};
+
+Result<ExchangeBuilder::Message> ExchangeBuilder::Message::create(const wire::Update &update, TimePoint measuredFrom)
+{
+    Message message;
+    BOOST_LEAF_ASSIGN(message.own, decode(update.own(), measuredFrom));
+    message.place = { message.own.region, AvailabilityZoneId(update.zone()) };
+    BOOST_LEAF_CHECK(decodeAll(update.statements(), message.statements, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAll(update.members(), message.members, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAges(update.members_alive(), message.membersAlive, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAll(update.zones(), message.summaries, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAges(update.zones_alive(), message.summariesAlive, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAll(update.directories(), message.directories));
+    BOOST_LEAF_CHECK(decodeAll(update.entries(), message.entries));
+    BOOST_LEAF_CHECK(decodeAll(update.reports(), message.reports, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAll(update.rooms(), message.rooms, measuredFrom));
+    BOOST_LEAF_CHECK(decodeAll(update.suspects(), message.suspects, measuredFrom));
+    return message;
+}
+
+ExchangeBuilder::ExchangeBuilder(Membership &membership, ConfigurationExchange &configuration,
+                                 TargetReportExchange &reports, CrashSuspectExchange &suspects,
+                                 ExchangeBuilderSettings settings)
+    : m_membership(membership)
+    , m_configuration(configuration)
+    , m_reports(reports)
+    , m_suspects(suspects)
+    , m_settings(settings)
+{
+}
+
+wire::ExchangeRequest ExchangeBuilder::request(const PeerCandidate &peer, TimePoint now)
+{
+    wire::ExchangeRequest request;
+    const std::lock_guard guard(m_mutex);
+    PeerRecord &record = m_servers[peer.vm];
+    record.usedAt = now;
+    // What an earlier request carried was not acknowledged, or it would not be noted as sent any more.
+    record.discardSent();
+    writeOwn(*request.mutable_update(), now);
+    if (relationTo(peer.place).isOwnZone) {
+        writeMembers(*request.mutable_update(), record, nullptr, now);
+    }
+    request.set_acknowledged(record.sequence);
+    for (const Statement &statement : m_configuration.newestStatements(now)) {
+        request.mutable_region_ages()->add_keys(regionKey(statement.region));
+        request.mutable_region_ages()->add_ages(encodeAge(statement.statedAt, now));
+    }
+    for (const WireKey key : record.wanted) {
+        request.add_wanted(key);
+    }
+    record.wanted.clear();
+    return request;
+}
+
+Result<wire::ExchangeResponse> ExchangeBuilder::answer(const wire::ExchangeRequest &request, TimePoint now)
+{
+    BOOST_LEAF_AUTO(message, Message::create(request.update(), now));
+    if (request.region_ages().keys_size() != request.region_ages().ages_size()) {
+        return fail(ErrorCode::InvalidArgument, "a request of another VM has more regions than ages or fewer");
+    }
+    const Relation relation = relationTo(message.place);
+    m_configuration.takeWithdrawals(message.own.pendingWithdrawals);
+
+    wire::ExchangeResponse response;
+    const std::lock_guard guard(m_mutex);
+    const auto [client, isAdded] = m_clients.try_emplace(message.own.process.vm);
+    PeerRecord &record = client->second;
+    if (isAdded) {
+        record.sequence = firstSequence();
+    }
+    record.usedAt = now;
+    record.noteProcess(message.own.process.incarnation);
+    if (request.acknowledged() == record.sequence) {
+        record.acknowledgeSent();
+    } else {
+        record.discardSent();
+    }
+    // The statement in a request may have been under way for long, so its moment is not known and it is not taken.
+    mergeMembers(message, record, now);
+    const std::set<WireKey> wanted(request.wanted().begin(), request.wanted().end());
+    wire::Update &update = *response.mutable_update();
+    writeOwn(update, now);
+    if (relation.isOwnZone) {
+        writeMembers(update, record, &request.update().members_alive(), now);
+    }
+    writeSummaries(update, record, relation, wanted, now);
+    writeDirectories(update, wanted);
+    writeStatements(update, request.region_ages(), now);
+    writeEntries(response, message.own.version);
+    if (relation.isOwnRegion) {
+        writeReports(update, record, now);
+    }
+    writeRooms(update, record, relation, now);
+    writeSuspects(update, record, now);
+    ++record.sequence;
+    response.set_sequence(record.sequence);
+    return response;
+}
+
+Result<bool> ExchangeBuilder::takeResponse(const VmId &peer, const wire::ExchangeResponse &response, TimePoint sentAt,
+                                           TimePoint now)
+{
+    BOOST_LEAF_AUTO(message, Message::create(response.update(), sentAt));
+    if (message.own.process.vm != peer) {
+        return fail(ErrorCode::InvalidArgument,
+                    "VM " + message.own.process.vm.text() + " answered under the address of VM " + peer.text());
+    }
+    mergeConfiguration(message);
+    m_configuration.takeStatement(message.own, now);
+    for (const Statement &statement : message.statements) {
+        m_configuration.takeStatement(statement, now);
+    }
+    const std::lock_guard guard(m_mutex);
+    PeerRecord &record = m_servers[peer];
+    record.usedAt = now;
+    record.noteProcess(message.own.process.incarnation);
+    record.acknowledgeSent();
+    record.sequence = response.sequence();
+    mergeMembers(message, record, now);
+    mergeSummaries(message, record, now);
+    mergeReports(message, now);
+    return response.is_snapshot_needed();
+}
+
+std::uint64_t ExchangeBuilder::firstSequence() const
+{
+    constexpr std::uint64_t bases = 128;
+    constexpr unsigned baseShift = 20;
+    return (m_membership.self().incarnation.value() % bases) << baseShift;
+}
+
+ExchangeBuilder::Relation ExchangeBuilder::relationTo(const Place &place) const
+{
+    return { place, place == m_membership.place(), place.region == m_membership.place().region };
+}
+
+void ExchangeBuilder::writeOwn(wire::Update &update, TimePoint now) const
+{
+    Statement own = m_configuration.ownStatement(now);
+    own.process = m_membership.self();
+    own.region = m_membership.place().region;
+    m_membership.updateOwn(own.version, own.pendingWithdrawals);
+    encode(own, now, *update.mutable_own());
+    update.set_zone(m_membership.place().availabilityZone.text());
+}
+
+void ExchangeBuilder::writeMembers(wire::Update &update, PeerRecord &record, const wire::Heartbeats *heard,
+                                   TimePoint now) const
+{
+    std::unordered_map<WireKey, std::uint32_t> peerAges;
+    if (heard != nullptr) {
+        for (int i = 0; i < std::min(heard->keys_size(), heard->ages_size()); ++i) {
+            peerAges.emplace(heard->keys(i), heard->ages(i));
+        }
+    }
+    m_membership.visitMembers(now, [&](const FleetMember &member) {
+        const PeerRecord::ItemKey item = itemKey(ItemKind::Member, member.key);
+        const std::optional<PeerRecord::Token> held = record.acknowledged(item);
+        const bool isChanged = !held || held->content < member.revision;
+        if (isChanged && static_cast<std::size_t>(update.members_size()) < m_settings.itemLimit) {
+            encode(member, !held, now, *update.add_members());
+            record.noteSent(item, { member.revision, now });
+            return;
+        }
+        const auto peerAge = peerAges.find(member.key);
+        const bool isLater =
+            peerAge == peerAges.end() || now - member.heardAt + heartbeatLead < Milliseconds(peerAge->second);
+        if (isLater && now - member.heardAt < m_settings.relayLimit) {
+            update.mutable_members_alive()->add_keys(member.key);
+            update.mutable_members_alive()->add_ages(encodeAge(member.heardAt, now));
+        }
+    });
+}
+
+void ExchangeBuilder::writeSummaries(wire::Update &update, PeerRecord &record, const Relation &relation,
+                                     const std::set<WireKey> &wanted, TimePoint now) const
+{
+    if (!relation.isOwnZone && m_membership.mayStateSummary(now)) {
+        const ZoneSummary own = m_membership.ownSummary(now);
+        writeSummary(update, record, own, own.contentKey(), Milliseconds(0), wanted, now);
+    }
+    const RegionId &region = m_membership.place().region;
+    m_membership.visitSummaries([&](const ZoneSummary &summary, WireKey contentKey) {
+        if (summary.place == relation.place || now - summary.statedAt > m_settings.relayLimit) {
+            return;
+        }
+        if (relation.isOwnRegion) {
+            writeSummary(update, record, summary, contentKey, m_settings.summaryRefresh, wanted, now);
+        } else if (summary.place.region == region) {
+            writeSummary(update, record, summary, contentKey, heartbeatLead, wanted, now);
+        }
+    });
+}
+
+void ExchangeBuilder::writeSummary(wire::Update &update, PeerRecord &record, const ZoneSummary &summary,
+                                   WireKey contentKey, Milliseconds refresh, const std::set<WireKey> &wanted,
+                                   TimePoint now) const
+{
+    const PeerRecord::ItemKey item = summaryItem(summary.place);
+    const std::optional<PeerRecord::Token> held = record.acknowledged(item);
+    if (!held || held->content != contentKey || wanted.contains(contentKey)) {
+        encode(summary, now, *update.add_zones());
+    } else if (summary.statedAt - held->at >= refresh) {
+        update.mutable_zones_alive()->add_keys(contentKey);
+        update.mutable_zones_alive()->add_ages(encodeAge(summary.statedAt, now));
+    } else {
+        return;
+    }
+    record.noteSent(item, { contentKey, summary.statedAt });
+}
+
+void ExchangeBuilder::writeDirectories(wire::Update &update, const std::set<WireKey> &wanted) const
+{
+    for (const WireKey key : wanted) {
+        if (static_cast<std::size_t>(update.directories_size()) >= m_settings.directoryLimit) {
+            return;
+        }
+        const std::optional<ZoneDirectory> directory = m_membership.directory(key);
+        if (directory) {
+            encode(*directory, *update.add_directories());
+        }
+    }
+}
+
+void ExchangeBuilder::writeStatements(wire::Update &update, const wire::Heartbeats &heard, TimePoint now) const
+{
+    std::unordered_map<WireKey, Milliseconds> peerAges;
+    for (int i = 0; i < heard.keys_size(); ++i) {
+        peerAges.emplace(heard.keys(i), Milliseconds(heard.ages(i)));
+    }
+    for (const Statement &statement : m_configuration.newestStatements(now)) {
+        const Microseconds age = now - statement.statedAt;
+        const auto peerAge = peerAges.find(regionKey(statement.region));
+        const bool isLater = peerAge == peerAges.end() || age + m_settings.statementLead < peerAge->second;
+        const bool isOwn = statement.region == m_membership.place().region;
+        if (isLater && !isOwn && age < m_settings.relayLimit) {
+            encode(statement, now, *update.add_statements());
+        }
+    }
+}
+
+void ExchangeBuilder::writeEntries(wire::ExchangeResponse &response, ConfigurationVersion version) const
+{
+    wire::Update &update = *response.mutable_update();
+    if (version.value() >= update.own().version()) {
+        return;
+    }
+    const std::vector<LogEntry> entries = m_configuration.entriesAfter(version, m_settings.entryLimit);
+    response.set_is_snapshot_needed(entries.empty());
+    std::size_t bytes = 0;
+    for (const LogEntry &entry : entries) {
+        wire::LogEntry encoded;
+        encode(entry, encoded);
+        bytes += encoded.ByteSizeLong();
+        if (update.entries_size() > 0 && bytes > m_settings.entryBytesLimit) {
+            return;
+        }
+        *update.add_entries() = std::move(encoded);
+    }
+}
+
+void ExchangeBuilder::writeReports(wire::Update &update, PeerRecord &record, TimePoint now) const
+{
+    const std::vector<TargetReport> reports = m_reports.reports(now);
+    // Begins elsewhere each time, so that none is left out forever when there is more news than room.
+    const std::size_t offset = record.sequence * m_settings.reportLimit;
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+        const TargetReport &report = reports[(i + offset) % reports.size()];
+        const bool isNew = isNews(record.acknowledged(reportItem(report)), contentOf(report), report.observedAt,
+                                  m_settings.reportRefresh);
+        if (!isNew || now - report.observedAt > m_settings.relayLimit) {
+            continue;
+        }
+        if (static_cast<std::size_t>(update.reports_size()) >= m_settings.reportLimit) {
+            return;
+        }
+        encode(report, now, *update.add_reports());
+        record.noteSent(reportItem(report), { contentOf(report), report.observedAt });
+    }
+}
+
+void ExchangeBuilder::writeRooms(wire::Update &update, PeerRecord &record, const Relation &relation,
+                                 TimePoint now) const
+{
+    for (const RegionRoom &room : m_reports.rooms(now)) {
+        const bool isForeign = room.region != m_membership.place().region;
+        if (room.region == relation.place.region || (!relation.isOwnRegion && isForeign)) {
+            continue;
+        }
+        const std::optional<PeerRecord::Token> held = record.acknowledged(roomItem(room));
+        const bool isNew = isNews(held, contentOf(room), room.statedAt, m_settings.roomRefresh);
+        const bool isYoung = now - room.statedAt < m_settings.relayLimit;
+        if (isNew && isYoung && static_cast<std::size_t>(update.rooms_size()) < m_settings.itemLimit) {
+            encode(room, now, *update.add_rooms());
+            record.noteSent(roomItem(room), { contentOf(room), room.statedAt });
+        }
+    }
+}
+
+void ExchangeBuilder::writeSuspects(wire::Update &update, PeerRecord &record, TimePoint now) const
+{
+    constexpr Milliseconds refresh { 60'000 };
+    for (const CrashSuspect &suspect : m_suspects.suspects(now)) {
+        const auto content = static_cast<std::uint64_t>(suspect.crashes);
+        const bool isNew = isNews(record.acknowledged(suspectItem(suspect)), content, suspect.lastSeenAt, refresh);
+        if (isNew && static_cast<std::size_t>(update.suspects_size()) < m_settings.itemLimit) {
+            encode(suspect, now, *update.add_suspects());
+            record.noteSent(suspectItem(suspect), { content, suspect.lastSeenAt });
+        }
+    }
+}
+
+void ExchangeBuilder::mergeConfiguration(const Message &message)
+{
+    if (!message.entries.empty()) {
+        m_configuration.takeEntries(message.entries);
+    }
+    std::set<KeyId> withdrawals = message.own.pendingWithdrawals;
+    for (const Statement &statement : message.statements) {
+        withdrawals.insert(statement.pendingWithdrawals.begin(), statement.pendingWithdrawals.end());
+    }
+    if (!withdrawals.empty()) {
+        m_configuration.takeWithdrawals(withdrawals);
+    }
+    const ConfigurationVersion newest = message.own.version;
+    const ConfigurationVersion next = message.entries.empty() ? ConfigurationVersion() : message.entries.back().version;
+    if (newest > next) {
+        m_configuration.hintVersion(newest);
+    }
+}
+
+void ExchangeBuilder::mergeMembers(const Message &message, PeerRecord &record, TimePoint now)
+{
+    if (message.place != m_membership.place()) {
+        return;
+    }
+    for (const FleetMember &member : message.members) {
+        m_membership.takeMember(member, now);
+        record.noteHeard(itemKey(ItemKind::Member, member.key), { member.revision, now });
+    }
+    for (const auto &[key, heardAt] : message.membersAlive) {
+        m_membership.heardFrom(key, heardAt);
+    }
+    m_membership.heardFrom(message.own.process, message.own.statedAt);
+}
+
+void ExchangeBuilder::mergeSummaries(const Message &message, PeerRecord &record, TimePoint now)
+{
+    for (const ZoneSummary &summary : message.summaries) {
+        m_membership.takeSummary(summary);
+        noteFromPeer(message.own.process.vm, summaryItem(summary.place), { summary.contentKey(), summary.statedAt });
+        const bool isOwn = summary.place == m_membership.place();
+        if (!isOwn && !m_membership.hasDirectory(summary.directoryDigest)) {
+            want(record, static_cast<WireKey>(summary.directoryDigest), now);
+        }
+    }
+    for (const auto &[key, statedAt] : message.summariesAlive) {
+        if (!m_membership.refreshSummary(key, statedAt)) {
+            record.wanted.insert(key);
+        }
+    }
+    for (const ZoneDirectory &directory : message.directories) {
+        m_membership.takeDirectory(directory);
+    }
+}
+
+void ExchangeBuilder::mergeReports(const Message &message, TimePoint now)
+{
+    const VmId &peer = message.own.process.vm;
+    const bool isOwnRegion = message.place.region == m_membership.place().region;
+    for (const TargetReport &report : message.reports) {
+        if (isOwnRegion) {
+            m_reports.takeReport(report, now);
+            noteFromPeer(peer, reportItem(report), { contentOf(report), report.observedAt });
+        }
+    }
+    for (const RegionRoom &room : message.rooms) {
+        m_reports.takeRoom(room, now);
+        noteFromPeer(peer, roomItem(room), { contentOf(room), room.statedAt });
+    }
+    for (const CrashSuspect &suspect : message.suspects) {
+        m_suspects.takeSuspect(suspect, now);
+        const PeerRecord::Token token { static_cast<std::uint64_t>(suspect.crashes), suspect.lastSeenAt };
+        noteFromPeer(peer, suspectItem(suspect), token);
+    }
+}
+
+void ExchangeBuilder::want(PeerRecord &record, WireKey key, TimePoint now)
+{
+    const auto asked = m_askedAt.find(key);
+    if (asked != m_askedAt.end() && now - asked->second < askAgainAfter) {
+        return;
+    }
+    m_askedAt.insert_or_assign(key, now);
+    record.wanted.insert(key);
+}
+
+void ExchangeBuilder::noteFromPeer(const VmId &peer, PeerRecord::ItemKey item, PeerRecord::Token token)
+{
+    const auto client = m_clients.find(peer);
+    if (client != m_clients.end()) {
+        client->second.noteHeard(item, token);
+    }
+}
+
+void ExchangeBuilder::forgetUnused(TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    const TimePoint limit = now - m_settings.recordLimit;
+    for (std::map<VmId, PeerRecord> *records : { &m_servers, &m_clients }) {
+        std::erase_if(*records, [&](const auto &item) {
+            return item.second.usedAt < limit;
+        });
+        for (auto &[vm, record] : *records) {
+            record.forgetBefore(limit);
+        }
+    }
+    std::erase_if(m_askedAt, [&](const auto &item) {
+        return item.second < limit;
+    });
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibFleet/FleetServer.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibExchange/RequestHandler.h>
+#include <LibFleet/ExchangeBuilder.h>
+#include <LibFleet/RequestStateSource.h>
+#include <LibFleet/SnapshotExchange.h>
+#include <LibFleet/WithdrawalSpreader.h>
+#include <LibSteering/Loan.h>
+
+#include <memory>
+#include <string>
+
+namespace Sapphire {
+
+/// What the server serves from. All must outlive it.
+struct FleetServerParts
+{
+    ExchangeBuilder &exchange;
+    ConfigurationExchange &configuration;
+    SnapshotExchange &snapshots;
+    Lender &lender;
+    RequestHandler &requests; ///< Runs the requests that other VMs forward; called from several threads.
+    RequestStateSource &states;
+    WithdrawalSpreader &withdrawals;
+    const Clock &clock;
+};
+
+struct FleetServerSettings
+{
+    std::string address; ///< "ip:port"; port 0 picks a free one.
+    int threadLimit { 64 }; ///< Of which each running call takes one.
+    int forwardLimit { 32 }; ///< Forwarded requests at once; the other threads stay free for the exchange.
+    int messageLimit { 4 * 1024 * 1024 }; ///< Bytes of a received message.
+    Milliseconds keepaliveInterval { 5'000 };
+    Milliseconds keepaliveTimeout { 2'000 };
+    Milliseconds leastPingInterval { 500 }; ///< Clients that probe more often than this are cut off.
+};
+
+/// Serves the calls of other VMs. It uses gRPC's synchronous API with a limited number of threads: a forwarded request
+/// blocks its thread in RequestHandler::handle() anyway, and the other calls are short and few.
+class FleetServer
+{
+public:
+    /// Fails with Unavailable if the address can't be bound.
+    [[nodiscard]] static Result<std::unique_ptr<FleetServer>> create(const FleetServerParts &parts,
+                                                                     const FleetServerSettings &settings);
+    /// Cancels the calls that still run.
+    ~FleetServer();
+
+    std::uint16_t port() const;
+    int runningForwards() const;
+    /// Takes no more calls, waits for the running ones until the deadline and cancels the rest.
+    void shutdown(Deadline deadline);
+
+private:
+    class Service;
+
+    FleetServer();
+
+    struct Data;
+    std::unique_ptr<Data> m_data;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibFleet/PeerRecord.cpp
@@ -0,0 +1,58 @@
+#include <LibFleet/PeerRecord.h>
+
+namespace Sapphire {
+
+std::optional<PeerRecord::Token> PeerRecord::acknowledged(ItemKey item) const
+{
+    const auto found = m_acknowledged.find(item);
+    if (found == m_acknowledged.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+void PeerRecord::noteSent(ItemKey item, Token token)
+{
+    m_sent.emplace_back(item, token);
+}
+
+void PeerRecord::noteHeard(ItemKey item, Token token)
+{
+    Token &held = m_acknowledged[item];
+    if (token.at >= held.at) {
+        held = token;
+    }
+}
+
+void PeerRecord::acknowledgeSent()
+{
+    for (const auto &[item, token] : m_sent) {
+        m_acknowledged.insert_or_assign(item, token);
+    }
+    m_sent.clear();
+}
+
+void PeerRecord::discardSent()
+{
+    m_sent.clear();
+}
+
+void PeerRecord::noteProcess(Incarnation incarnation)
+{
+    if (m_incarnation && *m_incarnation != incarnation) {
+        m_acknowledged.clear();
+        m_sent.clear();
+        wanted.clear();
+        sequence = 0;
+    }
+    m_incarnation = incarnation;
+}
+
+void PeerRecord::forgetBefore(TimePoint at)
+{
+    std::erase_if(m_acknowledged, [&](const auto &item) {
+        return item.second.at < at;
+    });
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibFleet/PeerSelection.cpp
@@ -0,0 +1,164 @@
+#include <LibFleet/PeerSelection.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sapphire {
+
+namespace {
+
+using Ring = std::vector<const PeerCandidate *>;
+
+Ring sortedByHash(Ring ring)
+{
+    std::vector<std::pair<std::uint64_t, const PeerCandidate *>> ranked;
+    ranked.reserve(ring.size());
+    for (const PeerCandidate *candidate : ring) {
+        ranked.emplace_back(stableHash(candidate->vm.text()), candidate);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.first, left.second->vm) < std::tie(right.first, right.second->vm);
+    });
+    std::transform(ranked.begin(), ranked.end(), ring.begin(), [](const auto &item) {
+        return item.second;
+    });
+    return ring;
+}
+
+Ring withoutSuspects(const Ring &ring)
+{
+    Ring alive;
+    std::copy_if(ring.begin(), ring.end(), std::back_inserter(alive), [](const PeerCandidate *candidate) {
+        return !candidate->isSuspect;
+    });
+    return alive;
+}
+
+void addOnce(std::vector<PeerCandidate> &peers, const PeerCandidate &peer)
+{
+    const bool isChosen = std::any_of(peers.begin(), peers.end(), [&](const PeerCandidate &chosen) {
+        return chosen.vm == peer.vm;
+    });
+    if (!isChosen) {
+        peers.push_back(peer);
+    }
+}
+
+} // namespace
+
+PeerSelection::PeerSelection(VmId self, Place place, PeerSelectionSettings settings)
+    : m_self(std::move(self)), m_place(std::move(place)), m_settings(settings)
+{
+}
+
+std::vector<std::size_t> PeerSelection::ringSteps(std::size_t ringSize, std::size_t count)
+{
+    constexpr std::size_t smallRing = 16;
+    std::vector<std::size_t> steps;
+    const double base = ringSize <= smallRing ? 2.0 : std::ceil(std::cbrt(static_cast<double>(ringSize)));
+    double step = 1;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto whole = static_cast<std::size_t>(step);
+        if (whole % std::max<std::size_t>(ringSize, 1) != 0) {
+            steps.push_back(whole % ringSize);
+        }
+        step *= base;
+    }
+    return steps;
+}
+
+std::vector<PeerCandidate> PeerSelection::peers(const std::vector<PeerCandidate> &candidates, std::uint64_t round) const
+{
+    std::map<AvailabilityZoneId, Ring> zones;
+    std::map<RegionId, Ring> regions;
+    for (const PeerCandidate &candidate : candidates) {
+        if (candidate.place.region != m_place.region) {
+            regions[candidate.place.region].push_back(&candidate);
+            continue;
+        }
+        zones[candidate.place.availabilityZone].push_back(&candidate);
+        regions[m_place.region].push_back(&candidate);
+    }
+    const PeerCandidate self { m_self, m_place, false };
+    for (Ring *ring : { &zones[m_place.availabilityZone], &regions[m_place.region] }) {
+        const bool isMissing = std::none_of(ring->begin(), ring->end(), [&](const PeerCandidate *candidate) {
+            return candidate->vm == m_self;
+        });
+        if (isMissing) {
+            ring->push_back(&self);
+        }
+    }
+
+    std::vector<PeerCandidate> chosen;
+    const Ring ownZone = sortedByHash(zones.at(m_place.availabilityZone));
+    addRingPeers(chosen, ownZone);
+    for (const auto &[zone, ring] : zones) {
+        if (zone != m_place.availabilityZone) {
+            addOnePeer(chosen, sortedByHash(ring), positionIn(ownZone), ownZone.size(), round);
+        }
+    }
+    const Ring ownRegion = sortedByHash(regions.at(m_place.region));
+    for (const auto &[region, ring] : regions) {
+        if (region != m_place.region) {
+            addOnePeer(chosen, sortedByHash(ring), positionIn(ownRegion), ownRegion.size(), round);
+        }
+    }
+    if ((round + stableHash(m_self.text())) % m_settings.suspectRetryRounds == 0) {
+        addSuspect(chosen, candidates, round);
+    }
+    return chosen;
+}
+
+std::size_t PeerSelection::positionIn(const Ring &ring) const
+{
+    const auto self = std::find_if(ring.begin(), ring.end(), [&](const PeerCandidate *candidate) {
+        return candidate->vm == m_self;
+    });
+    return static_cast<std::size_t>(self - ring.begin());
+}
+
+void PeerSelection::addRingPeers(std::vector<PeerCandidate> &peers, const Ring &own) const
+{
+    Ring ring;
+    std::copy_if(own.begin(), own.end(), std::back_inserter(ring), [&](const PeerCandidate *candidate) {
+        return !candidate->isSuspect || candidate->vm == m_self;
+    });
+    const std::size_t position = positionIn(ring);
+    for (const std::size_t step : ringSteps(ring.size(), m_settings.ringPeers)) {
+        addOnce(peers, *ring[(position + step) % ring.size()]);
+    }
+}
+
+void PeerSelection::addOnePeer(std::vector<PeerCandidate> &peers, const Ring &group, std::size_t position,
+                               std::size_t ownSize, std::uint64_t round) const
+{
+    const Ring alive = withoutSuspects(group);
+    // Positions are mapped in proportion, so that each VM of the group is pulled from by about as many others.
+    const std::size_t index =
+        position * (alive.empty() ? group.size() : alive.size()) / std::max<std::size_t>(ownSize, 1);
+    if (!alive.empty()) {
+        addOnce(peers, *alive[index % alive.size()]);
+    } else if (!group.empty()) {
+        addOnce(peers, *group[(index + round) % group.size()]);
+    }
+}
+
+void PeerSelection::addSuspect(std::vector<PeerCandidate> &peers, const std::vector<PeerCandidate> &candidates,
+                               std::uint64_t round) const
+{
+    Ring suspects;
+    for (const PeerCandidate &candidate : candidates) {
+        if (candidate.isSuspect && candidate.vm != m_self) {
+            suspects.push_back(&candidate);
+        }
+    }
+    if (suspects.empty()) {
+        return;
+    }
+    const std::uint64_t turn = round / m_settings.suspectRetryRounds + stableHash(m_self.text());
+    addOnce(peers, *sortedByHash(suspects)[turn % suspects.size()]);
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibFleet/WireCodec.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibConfiguration/Command.h>
+#include <LibConfiguration/Statement.h>
+#include <LibExchange/Messages.h>
+#include <LibExchange/Refusal.h>
+#include <LibFleet/Membership.h>
+#include <LibFleet/RequestStateSource.h>
+#include <LibSteering/TargetReport.h>
+
+#include <Fleet.pb.h>
+
+namespace Sapphire {
+
+namespace wire = sapphire::wire;
+
+// Translates between the types of the project and the messages of Fleet.proto. Ages become points in time by the moment
+// that they are measured from. Decoding fails with InvalidArgument where a part is missing or out of bounds.
+
+std::uint32_t encodeAge(TimePoint at, TimePoint now);
+TimePoint decodeAge(std::uint32_t age, TimePoint measuredFrom);
+std::uint32_t encodeRemaining(Deadline deadline, TimePoint now);
+
+void encode(const VmIncarnation &process, wire::Process &message);
+VmIncarnation decode(const wire::Process &message);
+void encode(const VmEndpoints &endpoints, wire::Endpoints &message);
+[[nodiscard]] Result<VmEndpoints> decode(const wire::Endpoints &message);
+
+void encode(const Statement &statement, TimePoint now, wire::Statement &message);
+[[nodiscard]] Result<Statement> decode(const wire::Statement &message, TimePoint measuredFrom);
+
+/// Leaves the identity out if the other side has it.
+void encode(const FleetMember &member, bool withIdentity, TimePoint now, wire::Member &message);
+[[nodiscard]] Result<FleetMember> decode(const wire::Member &message, TimePoint measuredFrom);
+void encode(const ZoneSummary &summary, TimePoint now, wire::ZoneSummary &message);
+[[nodiscard]] Result<ZoneSummary> decode(const wire::ZoneSummary &message, TimePoint measuredFrom);
+void encode(const ZoneDirectory &directory, wire::ZoneDirectory &message);
+[[nodiscard]] Result<ZoneDirectory> decode(const wire::ZoneDirectory &message);
+
+void encode(const TargetReport &report, TimePoint now, wire::TargetReport &message);
+[[nodiscard]] Result<TargetReport> decode(const wire::TargetReport &message, TimePoint measuredFrom);
+void encode(const RegionRoom &room, TimePoint now, wire::RegionRoom &message);
+[[nodiscard]] Result<RegionRoom> decode(const wire::RegionRoom &message, TimePoint measuredFrom);
+void encode(const CrashSuspect &suspect, TimePoint now, wire::CrashSuspect &message);
+[[nodiscard]] Result<CrashSuspect> decode(const wire::CrashSuspect &message, TimePoint measuredFrom);
+
+void encode(const LogEntry &entry, wire::LogEntry &message);
+[[nodiscard]] Result<LogEntry> decode(const wire::LogEntry &message);
+
+void encode(const RequestHead &head, TimePoint now, wire::RequestHead &message);
+[[nodiscard]] Result<RequestHead> decode(const wire::RequestHead &message, TimePoint now);
+void encode(const AnswerHead &head, wire::AnswerHead &message);
+[[nodiscard]] Result<AnswerHead> decode(const wire::AnswerHead &message);
+void encode(const Refusal &refusal, TimePoint now, wire::Refusal &message);
+[[nodiscard]] Result<Refusal> decode(const wire::Refusal &message, TimePoint now);
+
+void encode(const RemoteRequestState &state, wire::RequestStateResponse &message);
+[[nodiscard]] Result<RemoteRequestState> decode(const wire::RequestStateResponse &message);
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibFleet/WithdrawalSpreader.cpp
@@ -0,0 +1,64 @@
+#include <LibFleet/WithdrawalSpreader.h>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr Milliseconds longestWait { 200 };
+
+}
+
+WithdrawalSpreader::WithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
+                                       WithdrawalSpreaderSettings settings)
+    : m_client(client)
+    , m_membership(membership)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_selection(membership.self().vm, membership.place())
+    , m_ring(settings.queueLimit)
+    , m_thread(&WithdrawalSpreader::run, this)
+{
+}
+
+WithdrawalSpreader::~WithdrawalSpreader()
+{
+    m_ring.close();
+    m_thread.join();
+}
+
+std::size_t WithdrawalSpreader::spread(const std::set<KeyId> &keys, Deadline deadline)
+{
+    std::vector<VmId> vms;
+    for (const PeerCandidate &peer : m_selection.peers(m_membership.candidates(m_clock.now()), 0)) {
+        vms.push_back(peer.vm);
+    }
+    return m_client.withdraw(vms, keys, deadline);
+}
+
+void WithdrawalSpreader::passOn(std::set<KeyId> keys)
+{
+    // NOTE: A full ring is no loss, since each statement of this VM carries the keys too.
+    static_cast<void>(m_ring.tryPush(std::move(keys)));
+}
+
+void WithdrawalSpreader::run()
+{
+    while (true) {
+        std::optional<std::set<KeyId>> keys = m_ring.pop(longestWait);
+        if (!keys) {
+            if (m_ring.isClosed()) {
+                return;
+            }
+            continue;
+        }
+        while (m_ring.count() > 0) {
+            std::optional<std::set<KeyId>> more = m_ring.pop(Milliseconds(0));
+            if (more) {
+                keys->merge(*more);
+            }
+        }
+        spread(*keys, Deadline::after(m_clock.now(), m_settings.passOnTimeout));
+    }
+}
+
+} // namespace Sapphire
