LibConfiguration: Decide freshness and what is in force

Freshness judges the evidence that a VM has missed no change in force; ForceTracker tells from the roster when no VM can serve by an older version. A model test enumerates three regions with two VMs for each set of VMs that the store is cut off from, and shows for nine omissions which rule they break.

A VM that started in an outage neither counts its own region nor is counted by others until it has seen a majority without itself.

--- /dev/null
+++ b/Tests/LibConfiguration/ForceModel.h
@@ -0,0 +1,319 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace Sapphire {
+
+/// A rule of freshness or of the in-force decision that a variant of the model leaves out.
+enum class DroppedRule {
+    None,
+    Wait, ///< A change is in force as soon as the unconfirmed VMs don't span a majority.
+    WaitFromConfirmation, ///< The wait starts at the write.
+    Span, ///< Unconfirmed VMs may span a majority of the regions.
+    NewerStatements, ///< Statements with a newer version count.
+    RelayedAge, ///< A relayed statement is dated at its receipt.
+    ReadBeforeContact, ///< A contact with the store counts although the rows were not read.
+    FreshnessLimit, ///< Statements never expire.
+    StartMajority, ///< A VM without state counts its own region.
+    StartSilence, ///< Statements of a VM without state count.
+};
+
+/// One state of the model: six VMs, two in each of three regions, while one change spreads from VM 0.
+/// Time is counted in units of the freshness limit; ages stop at `expired`.
+struct ForceModelState
+{
+    static constexpr std::size_t vmCount = 6;
+    static constexpr std::size_t regionCount = 3;
+    static constexpr unsigned expired = 2;
+
+    /// Whether the VM has the change.
+    std::array<bool, vmCount> hasChange {};
+    /// The VM lost its state and has not started yet.
+    std::array<bool, vmCount> isEmpty {};
+    /// Age of the newest statement without the change, of each region, that the VM holds.
+    std::array<std::array<unsigned, regionCount>, vmCount> age {};
+    /// Since the write, and so since the last contact with the store of a VM without the change.
+    unsigned storeAge { 0 };
+    unsigned confirmationAge { 0 };
+    bool isClaimed { false }; ///< The change was reported as in force.
+    bool hasRestarted { false };
+
+    static std::size_t regionOf(std::size_t vm)
+    {
+        return vm / 2;
+    }
+    std::uint64_t packed() const
+    {
+        std::uint64_t bits =
+            (storeAge << 4U) | (confirmationAge << 2U) | (isClaimed ? 2U : 0U) | (hasRestarted ? 1U : 0U);
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            bits = (bits << 2U) | (hasChange[vm] ? 2U : 0U) | (isEmpty[vm] ? 1U : 0U);
+            for (const unsigned held : age[vm]) {
+                bits = (bits << 2U) | held;
+            }
+        }
+        return bits;
+    }
+    void swapWithinRegion(std::size_t region)
+    {
+        std::swap(hasChange[region * 2], hasChange[region * 2 + 1]);
+        std::swap(isEmpty[region * 2], isEmpty[region * 2 + 1]);
+        std::swap(age[region * 2], age[region * 2 + 1]);
+    }
+};
+
+enum class Exchange {
+    StepByStep, ///< Each pull of statements is a step of its own.
+    /// All pulls happen at once after each step. A pull only makes statements younger, which allows a VM more and
+    /// forbids nothing, so a violation that some order of pulls reaches is reached so too, in far fewer states.
+    Eager,
+};
+
+/// Enumerates what can happen to three regions with two VMs each while one change spreads, the store being cut off from
+/// some of the VMs, and looks for a VM that may serve by the old version after the change was reported as in force.
+class ForceModel
+{
+public:
+    using State = ForceModelState;
+
+    ForceModel(std::array<bool, State::vmCount> isCut, DroppedRule dropped, Exchange exchange, bool allowsRestart)
+        : m_isCut(isCut), m_dropped(dropped), m_exchange(exchange), m_allowsRestart(allowsRestart)
+    {
+    }
+
+    /// Returns a state that breaks the invariant, if one can be reached in so many steps.
+    std::optional<State> findViolation(int depth)
+    {
+        State first;
+        first.hasChange[0] = true;
+        m_seen.clear();
+        m_states.clear();
+        std::vector<State> frontier;
+        add(first, frontier);
+        for (int step = 0; step < depth && !frontier.empty() && !m_violation; ++step) {
+            std::vector<State> next;
+            for (const State &state : frontier) {
+                expand(state, next);
+            }
+            frontier = std::move(next);
+        }
+        return m_violation;
+    }
+
+    const std::vector<State> &states() const
+    {
+        return m_states;
+    }
+
+    bool isFresh(const State &state, std::size_t vm) const
+    {
+        const bool countsContact = m_dropped != DroppedRule::ReadBeforeContact || !m_isCut[vm];
+        const bool canHaveContact = !(state.hasRestarted && m_isCut[vm]);
+        if (!state.isEmpty[vm] && canHaveContact && countsContact && state.storeAge < State::expired) {
+            return true;
+        }
+        const bool countsSelf = !state.isEmpty[vm] || m_dropped == DroppedRule::StartMajority;
+        return coveredRegions(state, vm, countsSelf) >= 2;
+    }
+
+    bool isInForce(const State &state) const
+    {
+        if (m_dropped != DroppedRule::Span && spannedRegions(state) >= 2) {
+            return false;
+        }
+        switch (m_dropped) {
+        case DroppedRule::Wait:
+            return true;
+        case DroppedRule::WaitFromConfirmation:
+            return state.storeAge >= State::expired;
+        default:
+            return state.confirmationAge >= State::expired;
+        }
+    }
+
+private:
+    static std::size_t spannedRegions(const State &state)
+    {
+        std::size_t count = 0;
+        for (std::size_t region = 0; region < State::regionCount; ++region) {
+            count += state.hasChange[region * 2] && state.hasChange[region * 2 + 1] ? 0U : 1U;
+        }
+        return count;
+    }
+
+    std::size_t coveredRegions(const State &state, std::size_t vm, bool countsSelf) const
+    {
+        std::size_t count = 0;
+        for (std::size_t region = 0; region < State::regionCount; ++region) {
+            const bool isOwn = countsSelf && region == State::regionOf(vm);
+            const bool isStated = state.age[vm][region] < State::expired || m_dropped == DroppedRule::FreshnessLimit;
+            count += isOwn || isStated ? 1U : 0U;
+        }
+        return count;
+    }
+
+    void expand(const State &state, std::vector<State> &next)
+    {
+        add(tick(state), next);
+        for (std::size_t vm = 0; vm < State::vmCount; ++vm) {
+            confirm(state, vm, next);
+            contact(state, vm, next);
+            restart(state, vm, next);
+            for (std::size_t peer = 0; m_exchange == Exchange::StepByStep && peer < State::vmCount; ++peer) {
+                pull(state, vm, peer, next);
+            }
+        }
+    }
+
+    static State tick(State state)
+    {
+        const auto grow = [](unsigned &age) {
+            age = std::min(age + 1, State::expired);
+        };
+        grow(state.storeAge);
+        grow(state.confirmationAge);
+        for (auto &ages : state.age) {
+            for (unsigned &age : ages) {
+                grow(age);
+            }
+        }
+        return state;
+    }
+
+    /// The VM reads the change from the store, or from a peer that has it.
+    void confirm(State state, std::size_t vm, std::vector<State> &next)
+    {
+        bool canLearn = !m_isCut[vm];
+        for (const bool hasChange : state.hasChange) {
+            canLearn = canLearn || hasChange;
+        }
+        if (state.hasChange[vm] || !canLearn) {
+            return;
+        }
+        state.hasChange[vm] = true;
+        state.isEmpty[vm] = false;
+        state.confirmationAge = 0;
+        add(state, next);
+    }
+
+    void contact(State state, std::size_t vm, std::vector<State> &next)
+    {
+        if (m_dropped == DroppedRule::ReadBeforeContact && !m_isCut[vm] && !state.hasChange[vm]) {
+            state.storeAge = 0;
+            add(state, next);
+        }
+    }
+
+    /// The process is replaced by one without state, once, during the outage.
+    void restart(State state, std::size_t vm, std::vector<State> &next)
+    {
+        if (!m_allowsRestart || state.hasRestarted || !m_isCut[vm] || state.storeAge < State::expired) {
+            return;
+        }
+        state.hasRestarted = true;
+        state.hasChange[vm] = false;
+        state.isEmpty[vm] = true;
+        state.age[vm].fill(State::expired);
+        add(state, next);
+    }
+
+    /// The VM takes the peer's own statement and those that the peer holds, but no entries.
+    void pull(State state, std::size_t vm, std::size_t peer, std::vector<State> &next)
+    {
+        take(state, vm, peer);
+        add(state, next);
+    }
+
+    void pullAll(State &state) const
+    {
+        std::uint64_t before = 0;
+        do {
+            before = state.packed();
+            for (std::size_t pair = 0; pair < State::vmCount * State::vmCount; ++pair) {
+                take(state, pair / State::vmCount, pair % State::vmCount);
+                start(state);
+            }
+        } while (state.packed() != before);
+    }
+
+    /// VMs without state start once they hold statements from a majority of the regions.
+    void start(State &state) const
+    {
+        for (std::size_t vm = 0; vm < State::vmCount; ++vm) {
+            if (state.isEmpty[vm] && coveredRegions(state, vm, false) >= 2) {
+                state.isEmpty[vm] = false;
+            }
+        }
+    }
+
+    void take(State &state, std::size_t vm, std::size_t peer) const
+    {
+        if (vm == peer) {
+            return;
+        }
+        const bool isOldVersion = !state.hasChange[peer] || m_dropped == DroppedRule::NewerStatements;
+        const bool speaks = !state.isEmpty[peer] || m_dropped == DroppedRule::StartSilence;
+        if (isOldVersion && speaks) {
+            state.age[vm][State::regionOf(peer)] = 0;
+        }
+        for (std::size_t region = 0; region < State::regionCount; ++region) {
+            unsigned relayed = state.age[peer][region];
+            if (m_dropped == DroppedRule::RelayedAge && relayed < State::expired) {
+                relayed = 0;
+            }
+            state.age[vm][region] = std::min(state.age[vm][region], relayed);
+        }
+    }
+
+    void add(State state, std::vector<State> &next)
+    {
+        start(state);
+        if (m_exchange == Exchange::Eager) {
+            pullAll(state);
+        }
+        state.isClaimed = state.isClaimed || isInForce(state);
+        sortWithinRegions(state);
+        if (!m_seen.insert(state.packed()).second) {
+            return;
+        }
+        m_states.push_back(state);
+        next.push_back(state);
+        for (std::size_t vm = 0; vm < State::vmCount; ++vm) {
+            if (state.isClaimed && !state.hasChange[vm] && isFresh(state, vm)) {
+                m_violation = state;
+            }
+        }
+    }
+
+    /// The two VMs of a region are alike if the store is cut off from both or neither.
+    void sortWithinRegions(State &state) const
+    {
+        for (std::size_t region = 0; region < State::regionCount; ++region) {
+            if (m_isCut[region * 2] != m_isCut[region * 2 + 1]) {
+                continue;
+            }
+            State swapped = state;
+            swapped.swapWithinRegion(region);
+            if (swapped.packed() < state.packed()) {
+                state = swapped;
+            }
+        }
+    }
+
+    std::array<bool, State::vmCount> m_isCut;
+    DroppedRule m_dropped;
+    Exchange m_exchange;
+    bool m_allowsRestart;
+    std::unordered_set<std::uint64_t> m_seen;
+    std::vector<State> m_states;
+    std::optional<State> m_violation;
+};
+
+} // namespace Sapphire
