LibLimit: Refuse less inside the rate and bound loan calls

Buckets worth few tokens overflowed while others ran short, so a customer has no more holders than its burst affords, and shares move in steps. A lender with many empty answers asks its borrowers for longer pauses.

--- a/Libraries/LibLimit/CustomerAccount.h
+++ b/Libraries/LibLimit/CustomerAccount.h
@@ -8,6 +8,7 @@
 #include <LibSteering/TokenBucket.h>
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -35,6 +36,9 @@
     DemandMeter lentDemand; ///< Tokens that others asked for.
     DemandMeter regionalDemand; ///< Of these, by VMs of this region.
 
+    DemandMeter emptyAnswers; ///< Calls that asked for more than there was.
+    std::map<VmId, TimePoint> borrowers; ///< When each VM asked last.
+
     int homeSize { 1 };
     std::vector<HomeCandidate> homes;
     std::vector<LenderCandidate> lenders; ///< In the order in which they are asked.
--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -12,6 +12,14 @@
     return std::chrono::duration<double>(interval).count();
 }
 
+Microseconds fromSeconds(double interval)
+{
+    return Microseconds(static_cast<Microseconds::rep>(interval * 1e6));
+}
+
+// A borrower that has been silent for longer is not counted.
+constexpr Milliseconds borrowerMemory { 30'000 };
+
 } // namespace
 
 CustomerLimiter::CustomerLimiter(VmIncarnation self, Place place, const Clock &clock,
@@ -229,7 +237,24 @@
     const Deadline deadline = Deadline::after(now, lifetime);
     const Tokens lent = holder.bucket.lend(most, deadline, now);
     holder.lent += static_cast<std::uint64_t>(lent.value());
-    return Loan { customer, lent, deadline, holder.bucket.expectedAt(1 + keep, now) };
+    holder.borrowers[borrower.vm] = now;
+    if (lent == wanted) {
+        return Loan { customer, lent, deadline, Deadline(now) };
+    }
+    holder.emptyAnswers.add(1, now);
+    return Loan { customer, lent, deadline, nextLoanAt(holder, keep, now) };
+}
+
+Deadline CustomerLimiter::nextLoanAt(CustomerAccount &account, double keep, TimePoint now) const
+{
+    const Deadline latest = Deadline::after(now, m_settings.loanBook.longestPause);
+    const Deadline expected = account.bucket.expectedAt(1 + keep, now).earlier(latest);
+    if (account.emptyAnswers.perSecond(now) <= m_settings.emptyAnswersPerSecond) {
+        return expected;
+    }
+    const double turnSeconds = static_cast<double>(account.borrowers.size()) / m_settings.emptyAnswersPerSecond;
+    const Deadline turn = Deadline::after(now, fromSeconds(turnSeconds));
+    return expected < turn ? turn : expected;
 }
 
 bool CustomerLimiter::isLocal(const VmId &vm) const
@@ -364,6 +389,9 @@
     }
     for (auto &[customer, account] : m_accounts) {
         updateHomes(customer, account, now);
+        std::erase_if(account.borrowers, [now](const auto &entry) {
+            return now - entry.second > borrowerMemory;
+        });
         if (m_settings.policy == LimitPolicy::EqualSplit) {
             account.bucket.configure(account.ratePerSecond, account.burst, initialShare(), now);
         }
--- a/Libraries/LibLimit/CustomerLimiter.h
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -85,6 +85,7 @@
                               const CustomerAccount::LenderCandidate &lender, TimePoint now) const;
     Tokens batch(CustomerAccount &account, TimePoint now) const;
     Deadline nextTokenAt(CustomerAccount &account, TimePoint now) const;
+    Deadline nextLoanAt(CustomerAccount &account, double keep, TimePoint now) const;
     double tokensToKeep(CustomerAccount &account, TimePoint now) const;
     AdmissionStep waitOrRefuse(CustomerAccount &account, AdmissionAttempt &attempt, TimePoint now) const;
     bool isLocal(const VmId &vm) const;
--- a/Libraries/LibLimit/LimitSettings.h
+++ b/Libraries/LibLimit/LimitSettings.h
@@ -21,8 +21,8 @@
 
     /// Tokens lent count against the lender's capacity until the loan ends, even if they were used at once; so loans
     /// last little longer than a call and the demand that they are meant for.
-    Milliseconds localLoan { 100 };
-    Milliseconds remoteLoan { 250 };
+    Milliseconds localLoan { 60 };
+    Milliseconds remoteLoan { 180 };
     Milliseconds localLoanTimeout { 100 };
     Milliseconds remoteLoanTimeout { 250 };
     /// A lender in another region is asked only if the request has at least this much time left.
@@ -35,6 +35,8 @@
     Milliseconds longestTokenWait { 200 };
     /// Requests of a customer that wait so at one VM; others are refused at once.
     int mostTokenWaits { 4 };
+    /// A lender that has to give more empty answers a second for a customer asks the borrowers for longer pauses.
+    double emptyAnswersPerSecond { 20 };
     /// A refusal names no later moment than this.
     Milliseconds longestRetry { 10'000 };
 
--- a/Libraries/LibSteering/AllotmentPolicy.cpp
+++ b/Libraries/LibSteering/AllotmentPolicy.cpp
@@ -52,13 +52,15 @@
     if (view.isIntervalOver && isDemandOff(own, view, settings)) {
         own.demand = view.ownDemand;
     }
-    const std::map<VmId, Share> wantedShares = AllotmentPolicy::wantedShares(decision.next, view);
+    const std::map<VmId, Share> wantedShares = AllotmentPolicy::wantedShares(decision.next, view, settings);
     const Share wanted = wantedShares.at(view.self.vm);
     const auto limit = static_cast<double>(wanted.value()) * (1 + settings.lowerBand);
     const bool isWorthless = own.share.value() > 0 && own.share < AllotmentPolicy::leastShare(view.burst);
     if (wanted < own.share
         && (isWorthless || (view.isIntervalOver && static_cast<double>(own.share.value()) > limit))) {
-        own.share = wanted;
+        const auto step = static_cast<std::int64_t>(static_cast<double>(own.share.value()) * settings.lowerStep);
+        const Share stepped = std::max(wanted, own.share - Share(step));
+        own.share = stepped < AllotmentPolicy::leastShare(view.burst) ? wanted : stepped;
         return;
     }
     const Share raise = std::min(wanted - own.share, decision.next.rest());
@@ -102,12 +104,14 @@
     return Share(static_cast<std::int64_t>(std::ceil(static_cast<double>(wholeShare.value()) / burst)));
 }
 
-std::map<VmId, Share> AllotmentPolicy::wantedShares(const Allotment &current, const AllotmentView &view)
+std::map<VmId, Share> AllotmentPolicy::wantedShares(const Allotment &current, const AllotmentView &view,
+                                                    const AllotmentSettings &settings)
 {
     std::map<VmId, Share> shares;
     std::vector<Wish> wishes = wishesOf(current, view);
     const std::int64_t least = leastShare(view.burst).value();
-    const auto holders = std::min(wishes.size(), static_cast<std::size_t>(wholeShare.value() / least));
+    const double affordable = std::clamp(view.burst / settings.leastTokensPerHolder, 1.0, 1e6);
+    const auto holders = std::min(wishes.size(), static_cast<std::size_t>(affordable));
     double sum = 0;
     for (std::size_t i = 0; i < holders; ++i) {
         sum += wishes[i].demand;
--- a/Libraries/LibSteering/AllotmentPolicy.h
+++ b/Libraries/LibSteering/AllotmentPolicy.h
@@ -42,6 +42,11 @@
 {
     /// A share is lowered only if it exceeds the wanted one by this part of it.
     double lowerBand { 0.25 };
+    /// A share is lowered by at most this part of it in one interval, since the tokens above the new capacity are lost.
+    double lowerStep { 0.4 };
+    /// There are no more holders than leave each of them this many tokens of the burst, if it were split evenly. Small
+    /// buckets overflow while others run short.
+    double leastTokensPerHolder { 5 };
     /// Smaller raises are not worth a write.
     Share leastRaise { 2'000 };
     /// The demand in the row is renewed when it is off by this part of it.
@@ -85,7 +90,8 @@
     static AllotmentDecision decide(const Allotment &current, const AllotmentView &view,
                                     const AllotmentSettings &settings);
     /// Returns the share that each home VM should have, from the demands in the row.
-    static std::map<VmId, Share> wantedShares(const Allotment &current, const AllotmentView &view);
+    static std::map<VmId, Share> wantedShares(const Allotment &current, const AllotmentView &view,
+                                              const AllotmentSettings &settings);
     /// Returns the smallest useful share: what is worth one token.
     static Share leastShare(double burst);
 };
--- a/Libraries/LibSteering/LoanBook.cpp
+++ b/Libraries/LibSteering/LoanBook.cpp
@@ -26,7 +26,8 @@
 
 void LoanBook::takeFailure(const VmId &lender, TimePoint now)
 {
-    pause(lender, Deadline::after(now, m_settings.longestPause), now);
+    // A single lost message is more frequent than a dead lender, so the pause begins short here as well.
+    pause(lender, Deadline(now), now);
 }
 
 void LoanBook::pause(const VmId &lender, Deadline wantedUntil, TimePoint now)
@@ -35,7 +36,7 @@
     const Microseconds shortest = m_settings.shortestPause * (1 << std::min(entry.emptyAnswers, mostDoublings));
     ++entry.emptyAnswers;
     const Deadline least = Deadline::after(now, std::min<Microseconds>(shortest, m_settings.longestPause));
-    const Deadline most = Deadline::after(now, m_settings.longestPause);
+    const Deadline most = Deadline::after(now, m_settings.longestStatedPause);
     entry.until = std::clamp(wantedUntil, least, most);
 }
 
--- a/Libraries/LibSteering/LoanBook.h
+++ b/Libraries/LibSteering/LoanBook.h
@@ -10,8 +10,10 @@
 {
     /// A lender that had nothing is left alone at least this long; doubled with each empty answer in a row.
     Milliseconds shortestPause { 50 };
-    /// Limits the doubling and what a lender says of its next token.
+    /// Limits the doubling.
     Milliseconds longestPause { 1'000 };
+    /// Limits what a lender says of its next token.
+    Milliseconds longestStatedPause { 10'000 };
     /// All calls for one customer, so that a customer far above its rate can't use up the time of a VM.
     int callsPerSecond { 40 };
 };
