LibCaller: Fit the admission and the server to the merged libraries

Cause: the limiter tells apart why it admits nothing, and POCO's server needs a thread pool that outlives it; the sources written beside it assumed otherwise. Ruled out: leaking the pool.

--- a/Libraries/LibCaller/CallerServer.cpp
+++ b/Libraries/LibCaller/CallerServer.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
@@ -123,7 +124,8 @@
 
 } // namespace
 
-CallerServer::CallerServer(std::unique_ptr<Poco::Net::TCPServer> server) : m_server(std::move(server))
+CallerServer::CallerServer(std::unique_ptr<Poco::ThreadPool> threads, std::unique_ptr<Poco::Net::TCPServer> server)
+    : m_threads(std::move(threads)), m_server(std::move(server))
 {
 }
 
@@ -136,7 +138,7 @@
                                                            ConnectionGuard &guard)
 {
     try {
-        const Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+        Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
         parameters->setMaxThreads(settings.mostConnections);
         parameters->setMaxQueued(1);
         parameters->setKeepAlive(true);
@@ -147,9 +149,9 @@
         const Poco::Net::TCPServerConnectionFactory::Ptr factory(
             new ConnectionFactory(parameters, endpoint, guard, settings.headTimeout));
         auto threads = std::make_unique<Poco::ThreadPool>(2, settings.mostConnections + 1);
-        auto server = std::make_unique<Poco::Net::TCPServer>(factory, *threads.release(), socket, parameters);
+        auto server = std::make_unique<Poco::Net::TCPServer>(factory, *threads, socket, parameters);
         server->start();
-        return std::unique_ptr<CallerServer>(new CallerServer(std::move(server)));
+        return std::unique_ptr<CallerServer>(new CallerServer(std::move(threads), std::move(server)));
     } catch (const Poco::Exception &exception) {
         return fail(ErrorCode::Unavailable,
                     "callers can't be served at " + settings.address + ":" + std::to_string(settings.port) + ": "
--- a/Libraries/LibCaller/CallerServer.h
+++ b/Libraries/LibCaller/CallerServer.h
@@ -3,6 +3,7 @@
 #include <LibCaller/CallerEndpoint.h>
 
 #include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
 
 #include <memory>
 
@@ -31,8 +32,9 @@
     void stop();
 
 private:
-    explicit CallerServer(std::unique_ptr<Poco::Net::TCPServer> server);
+    CallerServer(std::unique_ptr<Poco::ThreadPool> threads, std::unique_ptr<Poco::Net::TCPServer> server);
 
+    std::unique_ptr<Poco::ThreadPool> m_threads;
     std::unique_ptr<Poco::Net::TCPServer> m_server;
 };
 
--- a/Libraries/LibCaller/EntryHandler.cpp
+++ b/Libraries/LibCaller/EntryHandler.cpp
@@ -11,6 +11,7 @@
 // Less time than this can't bring an answer from a target.
 constexpr Milliseconds leastTime { 2 };
 constexpr Milliseconds stateTimeout { 500 };
+constexpr Milliseconds retryWhenFresh { 1'000 };
 
 ExchangeReport refused(Refusal refusal)
 {
@@ -75,12 +76,24 @@
         return std::nullopt;
     }
     const Admission admission = m_parts.limiter.admit(head.customer, head.deadline);
-    if (admission.isAdmitted) {
+    const Deadline soon = Deadline::after(m_parts.clock.now(), retryWhenFresh);
+    switch (admission.kind) {
+    case Admission::Kind::Admitted:
         return std::nullopt;
+    case Admission::Kind::RateExceeded:
+        return Refusal { RefusalReason::RateExceeded,
+                         Verdict::NotRun,
+                         "the customer's rate and burst are used up",
+                         admission.nextTokenAt,
+                         {} };
+    case Admission::Kind::NotFresh:
+        return Refusal {
+            RefusalReason::NotFresh, Verdict::NotRun, "this VM can't know at present what other VMs admit", soon, {}
+        };
+    case Admission::Kind::UnknownCustomer:
+        break;
     }
-    return Refusal {
-        RefusalReason::RateExceeded, Verdict::NotRun, "the customer's rate and burst are used up", admission.retryAt, {}
-    };
+    return Refusal { RefusalReason::KeyRejected, Verdict::NotRun, "the customer was removed", {}, {} };
 }
 
 void EntryHandler::correctVerdict(const RequestHead &head, Refusal &refusal)
