Tests: Add the harness

Cause: integration tests start, stop and kill programs, call them over HTTP and must leave nothing behind.

Ruled out: forking in the calling thread (the kernel kills a child when the thread that started it ends) and POCO's client for HttpCall (its chunked stream takes a truncated answer for a complete one).

Before: nothing. After: ChildProcess, ScratchFolder, LoopbackSubnet with free ports, waitFor, HttpCall and PlatformStandIn. POCO's ServerSocket::bind(address, true) also sets SO_REUSEPORT, so two processes can listen on one port; the port search and the stand-in now turn that off.

--- a/Libraries/LibPlatform/PlatformClientSettings.h
+++ b/Libraries/LibPlatform/PlatformClientSettings.h
@@ -20,7 +20,7 @@
     Microseconds idleTime { std::chrono::seconds(10) };
     /// Bytes of the largest answer body that is read.
     std::size_t largestAnswer { std::size_t { 128 } * 1024 * 1024 };
-    CircuitBreakerSettings breaker;
+    CircuitBreakerSettings breaker {};
 };
 
 } // namespace Sapphire
--- /dev/null
+++ b/Tests/Harness/HttpAnswerReader.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <Harness/HttpCall.h>
+#include <LibCore/Result.h>
+
+#include <string>
+#include <string_view>
+
+namespace Sapphire {
+
+/// Takes the bytes of one HTTP answer as they arrive. Tells a truncated answer from a complete one, which POCO's
+/// chunked stream does not.
+class HttpAnswerReader
+{
+public:
+    explicit HttpAnswerReader(bool hasNoBody);
+
+    /// Fails with DataLoss if the answer is malformed.
+    [[nodiscard]] Result<void> add(std::string_view bytes);
+    /// Tells that the connection ended. Fails with DataLoss if the answer is incomplete, or with Unavailable if it had
+    /// not begun.
+    [[nodiscard]] Result<void> end();
+    bool isComplete() const;
+    HttpAnswer takeAnswer();
+
+private:
+    enum class State {
+        Head,
+        Sized,
+        UntilEnd,
+        ChunkSize,
+        Chunk,
+        Trailer,
+        Complete,
+    };
+
+    /// Takes what it can from the buffered bytes and returns whether there may be more to take.
+    Result<bool> step();
+    Result<bool> takeHead();
+    Result<void> startBody();
+    Result<bool> takeSized();
+    Result<bool> takeChunkSize();
+    Result<bool> takeChunk();
+    Result<bool> takeTrailer();
+
+    bool m_hasNoBody;
+    State m_state { State::Head };
+    std::string m_buffer;
+    std::size_t m_left { 0 }; ///< Bytes still expected of the body or chunk.
+    HttpAnswer m_answer;
+};
+
+} // namespace Sapphire
--- a/Tests/StandIns/Platform/PlatformServer.cpp
+++ b/Tests/StandIns/Platform/PlatformServer.cpp
@@ -68,7 +68,8 @@
     try {
         const Poco::Net::SocketAddress address(settings.address);
         Poco::Net::ServerSocket socket;
-        socket.bind(address, true);
+        // Without reuse of the port, which POCO's shorter function turns on, and which lets two processes listen on it.
+        socket.bind(address, true, false);
         socket.listen(acceptBacklog);
         server->m_http = std::make_unique<Http>(server->m_parts, socket, settings.threads);
         server->m_http->server.start();
