--- a/Tests/LibLimit/LimitSimulation.cpp
+++ b/Tests/LibLimit/LimitSimulation.cpp
@@ -15,6 +15,7 @@
 constexpr double freshSeconds = 4;
 constexpr double forceSeconds = 5;
 constexpr Milliseconds startUp { 5'000 };
+constexpr Milliseconds floodTime { 3'000 };
 constexpr double requestSeconds = 0.6;
 
 double secondsBetween(TimePoint from, TimePoint to)
@@ -289,7 +290,7 @@
         Caller caller { record.id };
         caller.looksUp = record.id.text() == "looks-up";
         caller.keepsLimit = record.id.text() != "greedy";
-        caller.requestsPerSecond = record.ratePerSecond * (caller.keepsLimit ? 0.5 : 5);
+        caller.requestsPerSecond = record.ratePerSecond * (caller.keepsLimit ? 0.5 : 10);
         caller.region = static_cast<int>(m_random.below(regionCount));
         m_callers.push_back(caller);
     }
@@ -419,27 +420,24 @@
     const auto sometime = [this, length] {
         return uniform(0.15, 0.9) * length;
     };
-    const auto anyVm = [this] {
-        return m_random.below(vmCount);
-    };
     for (int i = 0; m_faults.kills && i < 4; ++i) {
-        after(sometime(), [this, vm = anyVm()] {
-            kill(vm, uniform(1, 15));
+        after(sometime(), [this] {
+            kill(chooseVictim(), uniform(1, 15));
         });
     }
-    // Restarts the home VMs of a customer too, which any single VM seldom is.
-    for (int i = 0; m_faults.restartLoops && i < 10; ++i) {
-        const double begin = sometime();
-        const std::size_t vm = anyVm();
-        for (int j = 0; j < 3; ++j) {
-            after(begin + 0.4 * j, [this, vm] {
-                kill(vm, 0.1);
-            });
-        }
+    for (int i = 0; m_faults.restartLoops && i < 4; ++i) {
+        after(sometime(), [this] {
+            const std::size_t vm = chooseVictim();
+            for (int j = 0; j < 4; ++j) {
+                after(1.5 * j, [this, vm] {
+                    kill(vm, 0.02);
+                });
+            }
+        });
     }
     for (int i = 0; m_faults.freezes && i < 5; ++i) {
-        after(sometime(), [this, vm = anyVm()] {
-            freeze(vm, uniform(0.2, 16));
+        after(sometime(), [this] {
+            freeze(chooseVictim(), uniform(0.2, 16));
         });
     }
     if (m_faults.cuts) {
@@ -474,6 +472,19 @@
     }
 }
 
+std::size_t LimitSimulation::chooseVictim()
+{
+    // Faults of VMs that hold no share show little.
+    std::vector<std::size_t> holders;
+    for (std::size_t i = 0; i < vmCount; ++i) {
+        if (m_vms[i].process && m_vms[i].process->limiter.share(CustomerId("greedy")).value() > 0) {
+            holders.push_back(i);
+        }
+    }
+    const bool isAnyVm = holders.empty() || isLucky(0.3);
+    return isAnyVm ? m_random.below(vmCount) : holders[m_random.below(holders.size())];
+}
+
 void LimitSimulation::kill(std::size_t vm, double downSeconds)
 {
     if (!m_vms[vm].process) {
@@ -483,7 +494,7 @@
     m_vms[vm].isFrozen = false;
     m_vms[vm].awaySince = now();
     const std::uint64_t generation = m_vms[vm].generation;
-    after(5, [this, vm, generation] {
+    after(uniform(0.5, 7), [this, vm, generation] {
         retireIfStillAway(vm, generation);
     });
     after(downSeconds, [this, vm] {
@@ -499,7 +510,7 @@
     m_vms[vm].isFrozen = true;
     m_vms[vm].awaySince = now();
     const std::uint64_t generation = m_vms[vm].generation;
-    after(5, [this, vm, generation] {
+    after(uniform(0.5, 7), [this, vm, generation] {
         retireIfStillAway(vm, generation);
     });
     after(seconds, [this, vm, generation] {
@@ -525,7 +536,7 @@
         }
         m_vms[i].isCut = true;
         const std::uint64_t generation = m_vms[i].generation;
-        after(6, [this, i, generation] {
+        after(uniform(0.5, 7), [this, i, generation] {
             retireIfStillAway(i, generation);
         });
         after(seconds, [this, i] {
@@ -568,7 +579,11 @@
     caller.burstLeft -= isInBurst ? 1 : 0;
     const double pause = isInBurst ? 0.001 : -std::log(1 - m_random.unit()) / caller.requestsPerSecond;
     after(pause, [this, &caller] {
-        arrive(caller);
+        // Floods after pauses in which the buckets fill come closest to the limit.
+        const bool isQuiet = !caller.keepsLimit && (now() - m_measureFrom) / floodTime % 2 == 0;
+        if (!isQuiet) {
+            arrive(caller);
+        }
         scheduleArrivals(caller);
     });
 }
@@ -585,7 +600,7 @@
     }
     caller.level -= 1;
     const std::size_t vm = chooseVm(caller);
-    if (!m_vms[vm].process || m_vms[vm].isAway() || !m_vms[vm].process->isFresh(now())) {
+    if (!m_vms[vm].process) {
         return;
     }
     auto request = std::make_shared<Request>();
@@ -733,6 +748,10 @@
 void LimitSimulation::finish(const std::shared_ptr<Request> &request, const Admission &admission)
 {
     const CustomerId &customer = request->attempt.customer;
+    if (admission.kind == Admission::Kind::NotFresh) {
+        // The caller is sent to another VM.
+        return;
+    }
     if (now() < m_measureFrom) {
         if (admission.isAdmitted()) {
             m_ledgers[customer].take(now());
--- a/Tests/LibLimit/LimitSimulation.h
+++ b/Tests/LibLimit/LimitSimulation.h
@@ -78,6 +78,7 @@
     void poll(std::size_t vm, std::uint64_t generation);
     void tick(std::size_t vm, std::uint64_t generation);
     void scheduleFaults();
+    std::size_t chooseVictim();
     void kill(std::size_t vm, double downSeconds);
     void freeze(std::size_t vm, double seconds);
     void cut(int region, double seconds);
