LibOperator, LibDaemon: Add the operator language, the daemon's wiring, deployments and the load tool

Cause: the libraries need a program that joins them, operators need a language, and tests and the demonstration need whole deployments on loopback. Ruled out: settings files for each VM by hand (20 a deployment; they are derived from one plan), a closed-loop load (it slows down with the system and hides latency). Before: libraries only.

--- a/Libraries/LibCaller/ConnectionGuard.cpp
+++ b/Libraries/LibCaller/ConnectionGuard.cpp
@@ -48,6 +48,14 @@
     return m_entries.size();
 }
 
+void ConnectionGuard::shutDownAll()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[key, entry] : m_entries) {
+        shutdown(entry.descriptor, SHUT_RDWR);
+    }
+}
+
 void ConnectionGuard::reap()
 {
     while (!m_isStopping) {
--- a/Libraries/LibCaller/ConnectionGuard.h
+++ b/Libraries/LibCaller/ConnectionGuard.h
@@ -34,6 +34,8 @@
     };
 
     std::size_t connectionCount() const;
+    /// Shuts down all connections, for the end of the process.
+    void shutDownAll();
 
 private:
     struct Entry
--- a/Libraries/LibCore/SettingsReader.cpp
+++ b/Libraries/LibCore/SettingsReader.cpp
@@ -45,6 +45,11 @@
     return m_object->has(name) && !m_object->isNull(name);
 }
 
+std::vector<std::string> SettingsReader::memberNames() const
+{
+    return m_object->getNames();
+}
+
 void SettingsReader::reject(const std::string &name, const std::string &found, const std::string &expected)
 {
     m_faults->push_back(pathOf(name) + ": found " + found + ", expected " + expected);
--- a/Libraries/LibCore/SettingsReader.h
+++ b/Libraries/LibCore/SettingsReader.h
@@ -34,6 +34,8 @@
     std::vector<std::string> texts(const std::string &name);
 
     bool has(const std::string &name) const;
+    /// Returns the names of all members, for objects that are maps.
+    std::vector<std::string> memberNames() const;
     /// Returns a reader of the member object; a missing one is a fault and reads as empty.
     SettingsReader object(const std::string &name);
     /// Returns a reader for each object of the member array; a missing member reads as an empty array.
--- /dev/null
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -0,0 +1,338 @@
+#include <LibDaemon/Daemon.h>
+
+#include <LibDaemon/DaemonEvents.h>
+
+#include <thread>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr Milliseconds tickInterval { 50 };
+constexpr Milliseconds gossipInterval { 1'000 };
+constexpr Milliseconds listInterval { 1'000 };
+constexpr Milliseconds listTimeout { 2'000 };
+constexpr Milliseconds allotmentInterval { 500 };
+constexpr Milliseconds observeInterval { 1'000 };
+constexpr Milliseconds steerInterval { 500 };
+constexpr Milliseconds longestConfigurationWait { 200 };
+constexpr Milliseconds startTimeout { 3'000 };
+constexpr Milliseconds stopPoll { 20 };
+constexpr Milliseconds journalFlushTimeout { 3'000 };
+constexpr Milliseconds fleetShutdownTimeout { 500 };
+// An answer whose request has just ended may still be on its way out of the process.
+constexpr Milliseconds answerGrace { 200 };
+
+PlatformClientSettings platformClient(const DaemonSettings &settings)
+{
+    PlatformClientSettings client;
+    client.address = settings.platformAddress;
+    return client;
+}
+
+FleetClientSettings fleetClient(const DaemonSettings &settings)
+{
+    FleetClientSettings client;
+    client.addressMap = settings.addressMap;
+    return client;
+}
+
+} // namespace
+
+Result<Daemon::Foundation> Daemon::createFoundation(const DaemonSettings &settings, const VmIncarnation &process)
+{
+    Foundation foundation;
+    foundation.clock = std::make_unique<BootClock>();
+    BOOST_LEAF_ASSIGN(foundation.tracer,
+                      Tracer::create(settings.traceFile, "sapphired " + settings.vm.text(), *foundation.clock));
+    BOOST_LEAF_ASSIGN(foundation.tables, HttpTableService::create(platformClient(settings)));
+    BOOST_LEAF_ASSIGN(foundation.objects, HttpObjectStore::create(platformClient(settings)));
+    BOOST_LEAF_ASSIGN(foundation.directory, HttpVmDirectory::create(platformClient(settings)));
+    BOOST_LEAF_ASSIGN(foundation.journalTables, HttpTableService::create(platformClient(settings)));
+    foundation.log = std::make_unique<ConfigurationLog>(*foundation.tables, *foundation.objects);
+    KeeperSettings keeper;
+    keeper.self = process;
+    keeper.place = settings.place;
+    BOOST_LEAF_ASSIGN(foundation.keeper, ConfigurationKeeper::create(keeper, *foundation.log, *foundation.clock));
+    return foundation;
+}
+
+Result<std::unique_ptr<Daemon>> Daemon::create(DaemonSettings settings)
+{
+    // Later processes of a VM have higher numbers without anything that is kept on the VM.
+    const VmIncarnation process { settings.vm,
+                                  Incarnation(static_cast<std::uint64_t>(BootClock().wallTime().count())) };
+    BOOST_LEAF_AUTO(foundation, createFoundation(settings, process));
+    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), process, std::move(foundation)));
+    BOOST_LEAF_CHECK(daemon->start());
+    return daemon;
+}
+
+Daemon::Daemon(DaemonSettings settings, VmIncarnation process, Foundation foundation)
+    : m_settings(std::move(settings))
+    , m_process(std::move(process))
+    , m_foundation(std::move(foundation))
+    , m_clock(*m_foundation.clock)
+    , m_tracer(*m_foundation.tracer)
+    , m_keeper(*m_foundation.keeper)
+    , m_membership(m_process, m_settings.place, { m_settings.address, m_settings.callerPort, m_settings.fleetPort })
+    , m_fleetClient(m_membership, m_clock, fleetClient(m_settings))
+    , m_spreader(m_fleetClient, m_membership, m_clock)
+    , m_peers(m_fleetClient)
+    , m_limiter(m_process, m_settings.place, m_clock, m_keeper, m_membership, m_fleetClient, m_settings.limits)
+    , m_allotments(m_limiter, *m_foundation.tables, m_clock, m_keeper, m_settings.limits)
+    , m_claims(*m_foundation.tables)
+    , m_journalClaims(*m_foundation.journalTables)
+    , m_journal(m_journalClaims, m_clock)
+    , m_ledger(m_claims, m_journal, m_clock, { m_process })
+    , m_ledgerStates(m_ledger, m_process, m_clock)
+    , m_requestStates(m_ledger, m_peers, m_process)
+    , m_targets(m_settings.vm, m_settings.place, m_clock, m_settings.slotPolicy)
+    , m_observer(m_targets, m_membership, m_clock)
+    , m_localTargets(m_targets, m_tracer)
+    , m_knowledge(m_targets, m_settings.place.region)
+    , m_router({ m_keeper, m_membership, m_localTargets, m_peers, m_clock, m_metrics, m_tracer }, m_settings.vm,
+               m_settings.place.region)
+    , m_entry({ m_router, m_ledger, m_requestStates, m_peers, m_limiter, m_serving, m_clock }, m_process)
+    , m_keys(m_keeper)
+    , m_lookUp({ m_keeper, m_membership, m_limiter, m_ledger, m_clock },
+               { m_process, m_settings.place, m_settings.lookUpTimeToLive })
+    , m_callerEndpoint(
+          { m_keeper, m_keys, m_lookUp, m_entry, m_requestStates, m_serving, m_clock, m_metrics, m_tracer },
+          { m_settings.vm, m_settings.mostBodyBytes })
+    , m_guard(m_clock)
+    , m_snapshots(m_keeper)
+    , m_exchange(m_membership, m_keeper, m_knowledge, m_knowledge)
+    , m_gossip({ m_fleetClient, m_exchange, m_membership, m_keeper, m_snapshots, m_spreader, m_clock })
+    , m_views({ m_keeper, m_limiter, m_router, m_knowledge, m_clock })
+    , m_statements(m_keeper, m_membership, m_views, m_clock)
+{
+    m_keeper.connect(m_membership, m_spreader);
+    m_knowledge.connect(m_router);
+    m_localTargets.connect(m_router);
+    registerGauges();
+}
+
+Daemon::~Daemon()
+{
+    m_duties.clear();
+    m_operatorServer.reset();
+    m_guard.shutDownAll();
+    m_callerServer.reset();
+    if (m_fleetServer) {
+        m_fleetServer->shutdown(Deadline::after(m_clock.now(), fleetShutdownTimeout));
+    }
+}
+
+Result<void> Daemon::start()
+{
+    BOOST_LEAF_CHECK(startServers());
+    readVmList();
+    const Outcome<void> loaded = capture([&] {
+        return m_keeper.start(Deadline::after(m_clock.now(), startTimeout));
+    });
+    if (!loaded) {
+        logEvent(DaemonEvents::waitingForConfiguration, { { "reason", loaded.error().message } });
+    }
+    startDuties();
+    logEvent(
+        DaemonEvents::started,
+        { { "vm", m_process.vm }, { "incarnation", m_process.incarnation }, { "region", m_settings.place.region } });
+    return {};
+}
+
+Result<void> Daemon::startServers()
+{
+    FleetServerSettings fleet;
+    fleet.address = m_settings.address + ":" + std::to_string(m_settings.fleetPort);
+    BOOST_LEAF_ASSIGN(
+        m_fleetServer,
+        FleetServer::create(
+            { m_exchange, m_keeper, m_snapshots, m_limiter, m_entry, m_ledgerStates, m_spreader, m_clock }, fleet));
+    CallerServer::Settings callers;
+    callers.address = m_settings.address;
+    callers.port = m_settings.callerPort;
+    callers.mostConnections = m_settings.mostConnections;
+    callers.headTimeout = m_settings.headTimeout;
+    BOOST_LEAF_ASSIGN(m_callerServer, CallerServer::create(callers, m_callerEndpoint, m_guard));
+    BOOST_LEAF_ASSIGN(m_operatorServer,
+                      OperatorServer::create({ m_settings.address, m_settings.operatorPort, m_settings.operatorToken },
+                                             { m_statements, m_metrics, m_clock, [this] {
+                                                  return health();
+                                              } }));
+    return {};
+}
+
+void Daemon::startDuties()
+{
+    const auto add = [this](const std::string &name, Milliseconds interval, std::function<void()> duty) {
+        m_duties.push_back(std::make_unique<DutyThread>(name, interval, std::move(duty)));
+    };
+    add("tick", tickInterval, [this] {
+        m_keeper.noteTick(m_clock.now());
+    });
+    add("configuration", Milliseconds(0), [this] {
+        keepConfiguration();
+    });
+    add("vm-list", listInterval, [this] {
+        readVmList();
+    });
+    add("gossip", gossipInterval, [this] {
+        gossip();
+    });
+    add("allotment", allotmentInterval, [this] {
+        keepAllotments();
+    });
+    add("observer", observeInterval, [this] {
+        m_observer.tick(m_clock.now());
+    });
+    add("steering", steerInterval, [this] {
+        steer();
+    });
+}
+
+void Daemon::readVmList()
+{
+    const TimePoint now = m_clock.now();
+    const Outcome<std::vector<ListedVm>> list = capture([&] {
+        return m_foundation.directory->list(Deadline::after(now, listTimeout));
+    });
+    if (list) {
+        m_membership.takeList(list.value(), m_clock.now());
+    } else if (!m_isListLost) {
+        logEvent(DaemonEvents::listUnavailable, { { "reason", list.error().message } });
+    }
+    m_isListLost = !list;
+}
+
+void Daemon::keepConfiguration()
+{
+    m_keeper.waitForWork(longestConfigurationWait);
+    m_keeper.tick(m_clock.now());
+}
+
+void Daemon::keepAllotments()
+{
+    const TimePoint now = m_clock.now();
+    m_limiter.refresh(now);
+    if (m_serving.phase() == ServingState::Phase::Refusing) {
+        m_allotments.release(now);
+    } else {
+        m_allotments.tick(now);
+    }
+}
+
+void Daemon::gossip()
+{
+    const TimePoint now = m_clock.now();
+    const Statement own = m_keeper.ownStatement(now);
+    m_membership.updateOwn(own.version, own.pendingWithdrawals);
+    m_membership.setFresh(m_keeper.isFresh(now));
+    m_membership.setLeaving(m_serving.phase() != ServingState::Phase::Serving);
+    m_gossip.tick(now);
+}
+
+void Daemon::steer()
+{
+    const TimePoint now = m_clock.now();
+    const std::shared_ptr<const Configuration> configuration = m_keeper.configuration();
+    std::vector<VmId> vmsOfRegion;
+    for (const RosterVm &vm : m_membership.vms(now)) {
+        if (vm.place.region == m_settings.place.region && !vm.isSuspect) {
+            vmsOfRegion.push_back(vm.process.vm);
+        }
+    }
+    m_targets.update(*configuration, vmsOfRegion, now);
+    m_router.adjust(m_knowledge.rooms(now), [this, now](const ServiceId &service) {
+        return m_targets.isSlow(service, now);
+    });
+}
+
+void Daemon::registerGauges()
+{
+    m_metrics.gauge("sapphire_configuration_version", "", [this] {
+        return static_cast<double>(m_keeper.configuration()->version.value());
+    });
+    m_metrics.gauge("sapphire_fresh", "", [this] {
+        return m_keeper.isFresh(m_clock.now()) ? 1.0 : 0.0;
+    });
+    m_metrics.gauge("sapphire_running_requests", "", [this] {
+        return static_cast<double>(m_serving.runningCount());
+    });
+    m_metrics.gauge("sapphire_caller_connections", "", [this] {
+        return static_cast<double>(m_guard.connectionCount());
+    });
+    m_metrics.gauge("sapphire_request_ids", "", [this] {
+        return static_cast<double>(m_ledger.recordCount());
+    });
+    m_metrics.gauge("sapphire_journal_waiting", "", [this] {
+        return static_cast<double>(m_journal.pendingCount());
+    });
+    m_metrics.gauge("sapphire_fleet_channels", "", [this] {
+        return static_cast<double>(m_fleetClient.channelCount());
+    });
+    m_metrics.gauge("sapphire_spans_dropped", "", [this] {
+        return static_cast<double>(m_tracer.droppedSpans());
+    });
+}
+
+OperatorServer::Health Daemon::health() const
+{
+    if (m_serving.phase() != ServingState::Phase::Serving) {
+        return { false, "leaving" };
+    }
+    if (!m_keeper.isStarted(m_clock.now())) {
+        return { false, "waiting for a configuration" };
+    }
+    if (!m_keeper.isFresh(m_clock.now())) {
+        return { false, "not fresh" };
+    }
+    return { true, "serving" };
+}
+
+bool Daemon::isRetired() const
+{
+    return m_keeper.isSelfRetired() || m_membership.isSuperseded();
+}
+
+void Daemon::waitUntil(Deadline deadline, const std::function<bool()> &isUrgent) const
+{
+    while (!deadline.hasPassed(m_clock.now()) && !isUrgent()) {
+        std::this_thread::sleep_for(stopPoll);
+    }
+}
+
+int Daemon::stop(const std::function<bool()> &isUrgent)
+{
+    const TimePoint begin = m_clock.now();
+    const Deadline last = Deadline::after(begin, m_settings.stopTimeout);
+    logEvent(DaemonEvents::stopping, { { "vm", m_process.vm }, { "running", m_serving.runningCount() } });
+    m_serving.setPhase(ServingState::Phase::Leaving);
+    m_membership.setLeaving(true);
+    bool isSecondSignal = false;
+    const auto mustEnd = [&] {
+        isSecondSignal = isSecondSignal || isUrgent();
+        return isSecondSignal;
+    };
+    // A retired process may admit nothing, so there is nothing to linger for.
+    const Milliseconds lingerTime = isRetired() ? Milliseconds(0) : m_settings.lingerTime;
+    waitUntil(last.earlier(Deadline::after(begin, lingerTime)), mustEnd);
+    m_serving.setPhase(ServingState::Phase::Refusing);
+    logEvent(DaemonEvents::refusing, { { "running", m_serving.runningCount() } });
+    waitUntil(last, [&] {
+        return mustEnd() || m_serving.runningCount() == 0;
+    });
+    const int cut = m_serving.runningCount();
+    if (cut > 0) {
+        logEvent(DaemonEvents::requestsCut, { { "count", cut } });
+    } else {
+        std::this_thread::sleep_for(answerGrace);
+    }
+    if (!m_journal.flush(Deadline::after(m_clock.now(), journalFlushTimeout))) {
+        logEvent(DaemonEvents::journalLeft, { { "count", m_journal.pendingCount() } });
+    }
+    logEvent(DaemonEvents::stopped, { { "vm", m_process.vm }, { "cut", cut } });
+    return cut;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibDaemon/DaemonViews.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibCaller/RegionRouter.h>
+#include <LibDaemon/RegionKnowledge.h>
+#include <LibLimit/CustomerLimiter.h>
+#include <LibOperator/OperatorViews.h>
+
+namespace Sapphire {
+
+/// What operators can see of this VM's limits, rooms, weights and targets.
+class DaemonViews final : public OperatorViews
+{
+public:
+    struct Parts
+    {
+        const ConfigurationSource &configuration;
+        const CustomerLimiter &limiter;
+        const RegionRouter &router;
+        const RegionKnowledge &knowledge;
+        const Clock &clock;
+    };
+
+    explicit DaemonViews(Parts parts) : m_parts(parts)
+    {
+    }
+
+    Table limits(const CustomerId &customer) const override;
+    Table rooms() const override;
+    Table weights() const override;
+    Table targetState(const TargetId &target) const override;
+    std::vector<VmId> homeVms(const CustomerId &customer) const override;
+
+private:
+    Parts m_parts;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibDaemon/RegionKnowledge.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibCaller/RegionRouter.h>
+#include <LibFleet/CrashSuspectExchange.h>
+#include <LibFleet/TargetReportExchange.h>
+#include <LibTarget/ServiceTargets.h>
+
+#include <map>
+#include <mutex>
+
+namespace Sapphire {
+
+/// What this VM and others know of targets, rooms of regions and crash suspects, as the exchange carries it.
+class RegionKnowledge final : public TargetReportExchange, public CrashSuspectExchange
+{
+public:
+    RegionKnowledge(ServiceTargets &targets, RegionId ownRegion);
+    /// Joins it with the router, which needs it first.
+    void connect(RegionRouter &router);
+
+    std::vector<TargetReport> reports(TimePoint now) const override;
+    void takeReport(const TargetReport &report, TimePoint now) override;
+    std::vector<RegionRoom> rooms(TimePoint now) const override;
+    void takeRoom(const RegionRoom &room, TimePoint now) override;
+    std::vector<CrashSuspect> suspects(TimePoint now) const override;
+    void takeSuspect(const CrashSuspect &suspect, TimePoint now) override;
+
+private:
+    ServiceTargets &m_targets;
+    RegionId m_ownRegion;
+    RegionRouter *m_router { nullptr };
+    mutable std::mutex m_mutex;
+    std::map<std::pair<RegionId, ServiceId>, RegionRoom> m_rooms;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibOperator/OperatorViews.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibOperator/Table.h>
+
+namespace Sapphire {
+
+/// What the answering VM sees beyond the configuration. Safe to call from any thread.
+class OperatorViews
+{
+public:
+    virtual ~OperatorViews() = default;
+
+    virtual Table limits(const CustomerId &customer) const = 0; ///< Of all customers if it is empty.
+    virtual Table rooms() const = 0;
+    virtual Table weights() const = 0;
+    virtual Table targetState(const TargetId &target) const = 0;
+    virtual std::vector<VmId> homeVms(const CustomerId &customer) const = 0;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/Fakes/FakeRoster.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibConfiguration/Roster.h>
+
+namespace Sapphire {
+
+/// A fleet that a test sets.
+class FakeRoster final : public Roster
+{
+public:
+    std::vector<RosterVm> vms(TimePoint) const override
+    {
+        return m_vms;
+    }
+    std::set<VmId> listedVms() const override
+    {
+        std::set<VmId> listed;
+        for (const RosterVm &vm : m_vms) {
+            listed.insert(vm.process.vm);
+        }
+        return listed;
+    }
+    void add(const VmIncarnation &process, const Place &place)
+    {
+        RosterVm vm;
+        vm.process = process;
+        vm.place = place;
+        vm.endpoints = { "127.0.0.1", 1, 2 };
+        m_vms.push_back(vm);
+    }
+
+private:
+    std::vector<RosterVm> m_vms;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphireLoad/LoadCaller.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/BootClock.h>
+#include <LibCore/RandomSource.h>
+#include <SapphireLoad/LoadPlan.h>
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace Sapphire {
+
+/// Look-up answers, cached for their time to live as callers do. Shared by all workers.
+class LookUpCache
+{
+public:
+    struct Entry
+    {
+        std::vector<std::string> vms; ///< "ip:port", best first.
+        std::string requestIdPrefix;
+        Deadline expiry;
+    };
+
+    std::optional<Entry> find(const std::string &key, TimePoint now) const;
+    void store(const std::string &key, Entry entry);
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, Entry> m_entries;
+};
+
+/// What a call came back with.
+struct LoadAnswer
+{
+    int status { 0 }; ///< 0 if there was no HTTP answer.
+    std::string reason {}; ///< Of a refusal or error.
+    std::string verdict {};
+    std::string region {}; ///< That ran the request.
+    std::string body {};
+};
+
+/// One worker's connections to VMs. Used by one thread.
+class LoadCaller
+{
+public:
+    LoadCaller(const LoadPlan &plan, LookUpCache &cache, std::uint64_t seed);
+
+    /// Sends one request, with a look-up before it if the cache has none.
+    LoadAnswer call(const LoadCustomer &customer, const LoadRoute &route, const LoadOrigin &origin,
+                    const std::string &idSuffix);
+
+private:
+    LookUpCache::Entry lookUp(const LoadCustomer &customer, const LoadOrigin &origin);
+    LookUpCache::Entry spread() const;
+    LoadAnswer send(const std::string &vm, const LoadCustomer &customer, const LoadRoute &route, const std::string &id);
+    Poco::Net::HTTPClientSession &session(const std::string &vm);
+
+    const LoadPlan &m_plan;
+    LookUpCache &m_cache;
+    BootClock m_clock;
+    mutable RandomSource m_random;
+    std::map<std::string, std::unique_ptr<Poco::Net::HTTPClientSession>> m_sessions;
+};
+
+} // namespace Sapphire
