LibConfiguration: Keep, record and spread the configuration

ConfigurationLog writes one row per change with a conditional insert; after a lost answer it reads the row back, and repeats the write if there is none, because the command id in the row tells whose it is. In an outage it accepts withdrawals only, once two other VMs know them, and the VMs write them to the log in an order that differs from key to key.

Tests cover lost answers, one command id through two VMs, two operators racing, a start in an outage, old entries from a peer, the store's region cut off, pauses, and writers on several threads.

--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationKeeper.cpp
@@ -0,0 +1,607 @@
+#include <LibConfiguration/ConfigurationKeeper.h>
+
+#include <LibConfiguration/ApplyCommand.h>
+#include <LibConfiguration/ConfigurationCodec.h>
+#include <LibConfiguration/ConfigurationEvents.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr std::size_t rowsPerRead = 256;
+/// How often a writer gives way to others before it asks its caller to come again.
+constexpr int mostWriteAttempts = 16;
+/// Hints may come with every exchange; a fleet of 730 VMs must not turn them into a burst of reads.
+constexpr Microseconds shortestPollInterval { 500'000 };
+/// A withdrawal is accepted without the store once so many other VMs know it.
+constexpr std::size_t neededAcknowledgements = 2;
+constexpr Microseconds spreadTimeout { 1'000'000 };
+/// How long a VM leaves a withdrawal that another VM accepted to the VMs before it in the order.
+constexpr Microseconds withdrawalTurn { 2'000'000 };
+/// The age of statements of a VM that has no state to speak of: older than any that count.
+constexpr Microseconds uncountedAge { 3'600'000'000 };
+constexpr Microseconds forcePollInterval { 50'000 };
+
+} // namespace
+
+std::string_view nameOf(ReceiptState state)
+{
+    static constexpr std::array<std::string_view, 3> names { "in force", "recorded", "accepted, not durable" };
+    return names.at(static_cast<std::size_t>(state));
+}
+
+Result<std::unique_ptr<ConfigurationKeeper>> ConfigurationKeeper::create(KeeperSettings settings, ConfigurationLog &log,
+                                                                         const Clock &clock)
+{
+    if (settings.self.vm.isEmpty() || settings.self.incarnation == Incarnation {} || settings.place.region.isEmpty()) {
+        return fail(ErrorCode::InvalidArgument, "the keeper of the configuration needs a VM, incarnation and region");
+    }
+    return std::unique_ptr<ConfigurationKeeper>(new ConfigurationKeeper(std::move(settings), log, clock));
+}
+
+ConfigurationKeeper::ConfigurationKeeper(KeeperSettings settings, ConfigurationLog &log, const Clock &clock)
+    : m_log(log), m_clock(clock), m_settings(std::move(settings))
+{
+}
+
+void ConfigurationKeeper::connect(const Roster &roster, WithdrawalSpreader &spreader)
+{
+    m_roster = &roster;
+    m_spreader = &spreader;
+}
+
+Result<void> ConfigurationKeeper::start(Deadline deadline)
+{
+    observeFleet(m_clock.now());
+    const Outcome<void> loaded = capture([&] {
+        return load(deadline);
+    });
+    const std::string source = loaded ? "store" : "other VMs";
+    if (!loaded && !isStarted(m_clock.now())) {
+        return fail(ErrorCode::Unavailable,
+                    "the store doesn't answer, and no majority of the regions has told its "
+                    "configuration: "
+                        + loaded.error().message);
+    }
+    logEvent(ConfigurationEvents::started, { { "version", configuration()->version }, { "source", source } });
+    return {};
+}
+
+bool ConfigurationKeeper::isStarted(TimePoint now) const
+{
+    const std::lock_guard guard(m_mutex);
+    isFreshLocked(now);
+    return m_freshness.isStarted();
+}
+
+void ConfigurationKeeper::tick(TimePoint now)
+{
+    observeFleet(now);
+    if (!isPollDue(now) || !poll()) {
+        return;
+    }
+    writePendingWithdrawals(now);
+    retireProcesses(now);
+    writeSnapshotIfDue();
+}
+
+void ConfigurationKeeper::waitForWork(Microseconds longest)
+{
+    std::unique_lock lock(m_mutex);
+    m_work.wait_for(lock, longest, [this] {
+        return m_isWoken;
+    });
+    m_isWoken = false;
+}
+
+void ConfigurationKeeper::wake()
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        m_isWoken = true;
+    }
+    m_work.notify_all();
+}
+
+void ConfigurationKeeper::noteTick(TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    m_freshness.noteTick(now);
+}
+
+Result<Receipt> ConfigurationKeeper::submit(const Command &command, Deadline deadline)
+{
+    Command stamped = command;
+    if (stamped.wallTime == Microseconds::zero()) {
+        stamped.wallTime = m_clock.wallTime();
+    }
+    if (const auto *withdraw = std::get_if<WithdrawKey>(&stamped.body)) {
+        return submitWithdrawal(stamped, withdraw->key, deadline);
+    }
+    const auto *grant = std::get_if<GrantKey>(&stamped.body);
+    if (grant != nullptr && isWithdrawn(grant->key)) {
+        return fail(ErrorCode::Conflict, "key " + grant->key.text() + " is withdrawn; key ids are never reused");
+    }
+    BOOST_LEAF_AUTO(version, record(stamped, deadline));
+    return receiptOf(version);
+}
+
+Receipt ConfigurationKeeper::awaitForce(ConfigurationVersion version, Deadline deadline)
+{
+    Receipt receipt = receiptOf(version);
+    while (receipt.state != ReceiptState::InForce && !deadline.hasPassed(m_clock.now())) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_work.wait_for(lock, std::min(forcePollInterval, deadline.remaining(m_clock.now())));
+        }
+        receipt = receiptOf(version);
+    }
+    return receipt;
+}
+
+void ConfigurationKeeper::noteProcess(const VmIncarnation &process)
+{
+    const std::lock_guard guard(m_mutex);
+    m_retirements.note(process, m_clock.now());
+}
+
+bool ConfigurationKeeper::isSelfRetired() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_replica.configuration()->isRetired(m_settings.self);
+}
+
+void ConfigurationKeeper::renew(Incarnation incarnation)
+{
+    const std::lock_guard guard(m_mutex);
+    m_settings.self.incarnation = std::max(m_settings.self.incarnation, incarnation);
+    m_isRetirementLogged = false;
+}
+
+std::string ConfigurationKeeper::snapshot() const
+{
+    return ConfigurationCodec::encode(*configuration());
+}
+
+Result<void> ConfigurationKeeper::takeSnapshot(const std::string &text)
+{
+    BOOST_LEAF_AUTO(decoded, ConfigurationCodec::decode(text));
+    auto shared = std::make_shared<const Configuration>(std::move(decoded));
+    const std::lock_guard guard(m_mutex);
+    m_replica.adopt(std::move(shared));
+    return {};
+}
+
+std::shared_ptr<const Configuration> ConfigurationKeeper::configuration() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_replica.configuration();
+}
+
+bool ConfigurationKeeper::isFresh(TimePoint now) const
+{
+    bool hasChanged = false;
+    bool isNowFresh = false;
+    {
+        const std::lock_guard guard(m_mutex);
+        isNowFresh = isFreshLocked(now);
+        hasChanged = isNowFresh != m_wasFresh;
+        m_wasFresh = isNowFresh;
+        if (hasChanged && !isNowFresh) {
+            m_isPollHinted = true;
+            m_isWoken = true;
+        }
+    }
+    if (hasChanged) {
+        m_work.notify_all();
+        logEvent(isNowFresh ? ConfigurationEvents::freshnessRegained : ConfigurationEvents::freshnessLost, {});
+    }
+    return isNowFresh;
+}
+
+bool ConfigurationKeeper::isWithdrawn(const KeyId &key) const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_replica.isWithdrawn(key);
+}
+
+ForceStatus ConfigurationKeeper::forceStatus(ConfigurationVersion version, TimePoint now) const
+{
+    const std::vector<RosterVm> vms = rosterWithSelf(now);
+    const std::lock_guard guard(m_mutex);
+    m_force.observe(vms, now);
+    return m_force.status(version, m_replica.configuration()->regions, now);
+}
+
+Statement ConfigurationKeeper::ownStatement(TimePoint now) const
+{
+    const std::lock_guard guard(m_mutex);
+    return ownStatementLocked(now);
+}
+
+std::vector<LogEntry> ConfigurationKeeper::entriesAfter(ConfigurationVersion version, std::size_t limit) const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_replica.entriesAfter(version, limit);
+}
+
+void ConfigurationKeeper::takeEntries(const std::vector<LogEntry> &entries)
+{
+    const std::lock_guard guard(m_mutex);
+    for (const LogEntry &entry : entries) {
+        m_replica.apply(entry);
+    }
+}
+
+bool ConfigurationKeeper::takeWithdrawals(const std::set<KeyId> &keys)
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard guard(m_mutex);
+    const bool isAnyNew = m_replica.addWithdrawals(keys);
+    for (const KeyId &key : m_replica.pendingWithdrawals()) {
+        m_pendingWithdrawals.try_emplace(key, PendingWithdrawal { now, false });
+    }
+    return isAnyNew;
+}
+
+void ConfigurationKeeper::takeStatement(const Statement &statement, TimePoint now)
+{
+    takeWithdrawals(statement.pendingWithdrawals);
+    hintVersion(statement.version);
+    const std::lock_guard guard(m_mutex);
+    m_freshness.takeStatement(statement, now);
+}
+
+std::vector<Statement> ConfigurationKeeper::newestStatements(TimePoint now) const
+{
+    const std::lock_guard guard(m_mutex);
+    std::vector<Statement> statements = m_freshness.newestPerRegion(now);
+    if (m_freshness.isStarted()) {
+        std::erase_if(statements, [this](const Statement &statement) {
+            return statement.region == m_settings.place.region;
+        });
+        statements.push_back(ownStatementLocked(now));
+    }
+    return statements;
+}
+
+void ConfigurationKeeper::hintVersion(ConfigurationVersion version)
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        if (version <= m_replica.configuration()->version) {
+            return;
+        }
+        m_isPollHinted = true;
+        m_isWoken = true;
+    }
+    m_work.notify_all();
+}
+
+Result<void> ConfigurationKeeper::refresh(Deadline deadline)
+{
+    std::size_t count = rowsPerRead;
+    while (count == rowsPerRead) {
+        const ConfigurationVersion version = configuration()->version;
+        const TimePoint sentAt = m_clock.now();
+        BOOST_LEAF_AUTO(entries, m_log.readAfter(version, rowsPerRead, deadline));
+        takeEntries(entries);
+        count = entries.size();
+        if (count < rowsPerRead) {
+            const std::lock_guard guard(m_mutex);
+            m_freshness.noteStoreContact(sentAt);
+        }
+    }
+    return {};
+}
+
+Result<void> ConfigurationKeeper::load(Deadline deadline)
+{
+    if (configuration()->version == ConfigurationVersion()) {
+        Outcome<Configuration> snapshot = capture([&] {
+            return m_log.loadSnapshot(deadline);
+        });
+        // Without the snapshot all rows are read, which takes longer.
+        if (snapshot) {
+            auto shared = std::make_shared<const Configuration>(std::move(snapshot.value()));
+            const std::lock_guard guard(m_mutex);
+            m_replica.adopt(std::move(shared));
+        }
+    }
+    return refresh(deadline);
+}
+
+Result<ConfigurationVersion> ConfigurationKeeper::record(const Command &command, Deadline deadline)
+{
+    for (int attempt = 0; attempt < mostWriteAttempts; ++attempt) {
+        const Outcome<void> refreshed = capture([&] {
+            return load(deadline);
+        });
+        if (!refreshed) {
+            return fail(ErrorCode::Unavailable,
+                        "the store doesn't answer, and only withdrawals of keys are accepted "
+                        "without it: "
+                            + refreshed.error().message);
+        }
+        const std::shared_ptr<const Configuration> current = configuration();
+        if (const auto earlier = versionOfCommand(*current, command.id)) {
+            return *earlier;
+        }
+        const LogEntry entry { current->version.next(), command };
+        BOOST_LEAF_CHECK(applyCommand(*current, command, entry.version));
+        const Outcome<AppendOutcome> appended = capture([&] {
+            return m_log.append(entry, deadline);
+        });
+        if (!appended) {
+            logEvent(ConfigurationEvents::changeUncertain,
+                     { { "command", command.id }, { "error", appended.error().message } });
+            return fail(appended.error());
+        }
+        if (appended.value() == AppendOutcome::Taken) {
+            continue;
+        }
+        takeEntries({ entry });
+        logEvent(ConfigurationEvents::changeRecorded,
+                 { { "version", entry.version }, { "command", command.id }, { "operator", command.operatorId } });
+        if (entry.version.value() % snapshotInterval == 0) {
+            const std::lock_guard guard(m_mutex);
+            m_snapshotDue = entry.version;
+        }
+        return entry.version;
+    }
+    return fail(ErrorCode::Unavailable, "other changes came first each time; send the command again");
+}
+
+Result<Receipt> ConfigurationKeeper::submitWithdrawal(const Command &command, const KeyId &key, Deadline deadline)
+{
+    BOOST_LEAF_CHECK(checkWithdrawal(command, key, deadline));
+    if (const auto version = withdrawnIn(key)) {
+        return receiptOf(*version);
+    }
+    takeWithdrawals({ key });
+    {
+        const std::lock_guard guard(m_mutex);
+        m_pendingWithdrawals[key].wasAcceptedHere = true;
+    }
+    // The key stops working before the store is asked, which may take until the deadline in an outage.
+    const Deadline spreadDeadline = Deadline::after(m_clock.now(), spreadTimeout).earlier(deadline);
+    const std::size_t acknowledgements = m_spreader == nullptr ? 0 : m_spreader->spread({ key }, spreadDeadline);
+    const Outcome<ConfigurationVersion> recorded = capture([&] {
+        return record(command, deadline);
+    });
+    if (recorded) {
+        return receiptOf(recorded.value());
+    }
+    if (const auto version = withdrawnIn(key)) {
+        return receiptOf(*version);
+    }
+    logEvent(ConfigurationEvents::withdrawalPending,
+             { { "key", key }, { "acknowledgements", acknowledgements }, { "error", recorded.error().message } });
+    if (acknowledgements >= neededAcknowledgements) {
+        return Receipt { configuration()->version, ReceiptState::AcceptedNotDurable, unawareOf(key, m_clock.now()) };
+    }
+    return fail(ErrorCode::Unavailable,
+                "key " + key.text()
+                    + " is withdrawn on this VM, but the store doesn't answer "
+                      "and "
+                    + std::to_string(acknowledgements) + " other VMs acknowledged, expected "
+                    + std::to_string(neededAcknowledgements),
+                Verdict::MayHaveRun);
+}
+
+Result<void> ConfigurationKeeper::checkWithdrawal(const Command &command, const KeyId &key, Deadline deadline)
+{
+    if (!configuration()->keys.contains(key)) {
+        // The key may be younger than the own version. In an outage the own version has to do.
+        const Deadline readDeadline = Deadline::after(m_clock.now(), m_settings.storeTimeout).earlier(deadline);
+        [[maybe_unused]] const Outcome<void> refreshed = capture([&] {
+            return load(readDeadline);
+        });
+    }
+    if (withdrawnIn(key)) {
+        return {};
+    }
+    const std::shared_ptr<const Configuration> current = configuration();
+    BOOST_LEAF_CHECK(applyCommand(*current, command, current->version.next()));
+    return {};
+}
+
+Receipt ConfigurationKeeper::receiptOf(ConfigurationVersion version) const
+{
+    const ForceStatus status = forceStatus(version, m_clock.now());
+    return { version, status.isInForce ? ReceiptState::InForce : ReceiptState::Recorded, status.unconfirmed };
+}
+
+std::optional<ConfigurationVersion> ConfigurationKeeper::withdrawnIn(const KeyId &key) const
+{
+    const std::shared_ptr<const Configuration> current = configuration();
+    const auto found = current->keys.find(key);
+    if (found == current->keys.end() || !found->second.isWithdrawn) {
+        return std::nullopt;
+    }
+    return found->second.mark.version;
+}
+
+void ConfigurationKeeper::observeFleet(TimePoint now) const
+{
+    if (m_roster == nullptr) {
+        return;
+    }
+    const std::vector<RosterVm> vms = rosterWithSelf(now);
+    const std::set<VmId> listed = m_roster->listedVms();
+    std::set<VmId> members = listed;
+    // A VM that started while the platform's list can't be read has only what other VMs said.
+    if (listed.empty()) {
+        for (const RosterVm &vm : vms) {
+            members.insert(vm.process.vm);
+        }
+    }
+    const std::lock_guard guard(m_mutex);
+    m_members = std::move(members);
+    m_force.observe(vms, now);
+    m_retirements.observe(vms, listed, now);
+}
+
+bool ConfigurationKeeper::isPollDue(TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    const Microseconds interval = m_isPollHinted ? shortestPollInterval : m_settings.pollInterval;
+    if (m_lastPoll && now - *m_lastPoll < std::min(interval, m_settings.pollInterval)) {
+        return false;
+    }
+    m_lastPoll = now;
+    m_isPollHinted = false;
+    return true;
+}
+
+bool ConfigurationKeeper::poll()
+{
+    const Outcome<void> loaded = capture([&] {
+        return load(Deadline::after(m_clock.now(), m_settings.storeTimeout));
+    });
+    const bool isReachable = static_cast<bool>(loaded);
+    bool hasChanged = false;
+    bool isNewlyRetired = false;
+    {
+        const std::lock_guard guard(m_mutex);
+        hasChanged = isReachable != m_isStoreReachable;
+        m_isStoreReachable = isReachable;
+        isNewlyRetired = !m_isRetirementLogged && m_replica.configuration()->isRetired(m_settings.self);
+        m_isRetirementLogged = m_isRetirementLogged || isNewlyRetired;
+    }
+    if (hasChanged && isReachable) {
+        logEvent(ConfigurationEvents::storeReachable, {});
+    } else if (hasChanged) {
+        logEvent(ConfigurationEvents::storeUnreachable, { { "error", loaded.error().message } });
+    }
+    if (isNewlyRetired) {
+        logEvent(ConfigurationEvents::selfRetired, {});
+    }
+    return isReachable;
+}
+
+void ConfigurationKeeper::writePendingWithdrawals(TimePoint now)
+{
+    std::vector<KeyId> due;
+    {
+        const std::lock_guard guard(m_mutex);
+        std::erase_if(m_pendingWithdrawals, [this](const auto &pending) {
+            return !m_replica.pendingWithdrawals().contains(pending.first);
+        });
+        for (const auto &[key, pending] : m_pendingWithdrawals) {
+            const auto rank = static_cast<Microseconds::rep>(rankOf(m_settings.self.vm, m_members, key.text()));
+            const bool isTurn = pending.wasAcceptedHere || now - pending.since >= withdrawalTurn * rank;
+            if (isTurn && m_replica.configuration()->keys.contains(key)) {
+                due.push_back(key);
+            }
+        }
+    }
+    for (const KeyId &key : due) {
+        const Deadline deadline = Deadline::after(m_clock.now(), m_settings.storeTimeout);
+        const Outcome<ConfigurationVersion> recorded = capture([&] {
+            return record(ownCommand("withdrawal/" + key.text(), WithdrawKey { key }), deadline);
+        });
+        if (recorded) {
+            logEvent(ConfigurationEvents::withdrawalRecorded, { { "key", key }, { "version", recorded.value() } });
+        }
+    }
+}
+
+void ConfigurationKeeper::retireProcesses(TimePoint now)
+{
+    std::vector<VmIncarnation> due;
+    {
+        const std::lock_guard guard(m_mutex);
+        due = m_retirements.due(m_settings.self.vm, *m_replica.configuration(), now);
+    }
+    for (const VmIncarnation &process : due) {
+        const std::string incarnation = std::to_string(process.incarnation.value());
+        const Deadline deadline = Deadline::after(m_clock.now(), m_settings.storeTimeout);
+        const Outcome<ConfigurationVersion> recorded = capture([&] {
+            return record(ownCommand("retirement/" + process.vm.text() + "/" + incarnation, RetireVm { process }),
+                          deadline);
+        });
+        if (recorded) {
+            logEvent(ConfigurationEvents::vmRetired,
+                     { { "vm", process.vm }, { "incarnation", incarnation }, { "version", recorded.value() } });
+        }
+    }
+}
+
+void ConfigurationKeeper::writeSnapshotIfDue()
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        if (!m_snapshotDue) {
+            return;
+        }
+    }
+    const Outcome<void> written = capture([&] {
+        return m_log.writeSnapshot(*configuration(), Deadline::after(m_clock.now(), m_settings.storeTimeout));
+    });
+    if (!written) {
+        logEvent(ConfigurationEvents::snapshotFailed, { { "error", written.error().message } });
+        return;
+    }
+    const std::lock_guard guard(m_mutex);
+    m_snapshotDue.reset();
+}
+
+Command ConfigurationKeeper::ownCommand(const std::string &id, CommandBody body) const
+{
+    return { CommandId(id), OperatorId(m_settings.self.vm.text()), std::nullopt, m_clock.wallTime(), std::move(body) };
+}
+
+std::vector<RosterVm> ConfigurationKeeper::rosterWithSelf(TimePoint now) const
+{
+    std::vector<RosterVm> vms;
+    if (m_roster != nullptr) {
+        vms = m_roster->vms(now);
+    }
+    const std::lock_guard guard(m_mutex);
+    std::erase_if(vms, [this](const RosterVm &vm) {
+        return vm.process.vm == m_settings.self.vm;
+    });
+    RosterVm self;
+    self.process = m_settings.self;
+    self.place = m_settings.place;
+    self.confirmedVersion = m_replica.configuration()->version;
+    self.knownWithdrawals = m_replica.pendingWithdrawals();
+    vms.push_back(std::move(self));
+    return vms;
+}
+
+std::vector<VmId> ConfigurationKeeper::unawareOf(const KeyId &key, TimePoint now) const
+{
+    std::vector<VmId> unaware;
+    for (const RosterVm &vm : rosterWithSelf(now)) {
+        if (!vm.knownWithdrawals.contains(key)) {
+            unaware.push_back(vm.process.vm);
+        }
+    }
+    return unaware;
+}
+
+FreshnessView ConfigurationKeeper::view() const
+{
+    return { m_settings.self, m_settings.place.region, *m_replica.configuration(), m_replica.pendingWithdrawals(),
+             m_members };
+}
+
+bool ConfigurationKeeper::isFreshLocked(TimePoint now) const
+{
+    return m_freshness.isFresh(view(), now);
+}
+
+Statement ConfigurationKeeper::ownStatementLocked(TimePoint now) const
+{
+    // A VM that has not started may have followed a newer version in an earlier process; its word must not count.
+    const TimePoint statedAt = m_freshness.isStarted() ? now : now - uncountedAge;
+    return { m_settings.self, m_settings.place.region, statedAt, m_replica.configuration()->version,
+             m_replica.pendingWithdrawals() };
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/LibConfiguration/TestFleet.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "Commands.h"
+
+#include <Fakes/FakeTableService.h>
+#include <LibConfiguration/ConfigurationKeeper.h>
+#include <LibCore/ManualClock.h>
+
+#include <atomic>
+#include <functional>
+
+namespace Sapphire {
+
+/// One VM's way to the table service, which a test can cut or disturb.
+class TablePath final : public TableService
+{
+public:
+    explicit TablePath(TableService &tables) : m_tables(tables)
+    {
+    }
+
+    std::atomic<bool> isCut { false };
+    /// The next insertions are lost on the way, and the caller can't know.
+    std::atomic<int> insertionsToLose { 0 };
+    std::function<void()> beforeInsertion;
+
+    Result<Row> read(const TableName &table, const std::string &key, Deadline deadline) override
+    {
+        BOOST_LEAF_CHECK(checkPath());
+        return m_tables.read(table, key, deadline);
+    }
+    Result<std::vector<Row>> list(const TableName &table, const std::string &after, std::size_t limit,
+                                  Deadline deadline) override
+    {
+        BOOST_LEAF_CHECK(checkPath());
+        return m_tables.list(table, after, limit, deadline);
+    }
+    Result<RowTag> insert(const TableName &table, const std::string &key, const std::string &value,
+                          Deadline deadline) override
+    {
+        BOOST_LEAF_CHECK(checkPath());
+        if (beforeInsertion) {
+            std::exchange(beforeInsertion, nullptr)();
+        }
+        if (insertionsToLose > 0) {
+            --insertionsToLose;
+            return fail(ErrorCode::Timeout, "no answer", Verdict::MayHaveRun);
+        }
+        const Outcome<RowTag> inserted = capture([&] {
+            return m_tables.insert(table, key, value, deadline);
+        });
+        if (!inserted && cutAfterLostAnswer && inserted.error().verdict == Verdict::MayHaveRun) {
+            isCut = true;
+        }
+        return inserted ? Result<RowTag>(inserted.value()) : fail(inserted.error());
+    }
+    Result<RowTag> replace(const TableName &table, const std::string &key, const std::string &value, const RowTag &tag,
+                           Deadline deadline) override
+    {
+        BOOST_LEAF_CHECK(checkPath());
+        return m_tables.replace(table, key, value, tag, deadline);
+    }
+    Result<void> remove(const TableName &table, const std::string &key, const RowTag &tag, Deadline deadline) override
+    {
+        BOOST_LEAF_CHECK(checkPath());
+        return m_tables.remove(table, key, tag, deadline);
+    }
+
+    bool cutAfterLostAnswer { false };
+
+private:
+    Result<void> checkPath() const
+    {
+        if (isCut) {
+            return fail(ErrorCode::Unavailable, "no route to the table service");
+        }
+        return {};
+    }
+
+    TableService &m_tables;
+};
+
+class FakeObjectStore final : public ObjectStore
+{
+public:
+    Result<std::string> read(const std::string &key, Deadline) override
+    {
+        const std::lock_guard guard(m_mutex);
+        const auto found = m_objects.find(key);
+        return found == m_objects.end() ? fail(ErrorCode::NotFound, "no object " + key)
+                                        : Result<std::string>(found->second);
+    }
+    Result<void> write(const std::string &key, const std::string &content, Deadline) override
+    {
+        const std::lock_guard guard(m_mutex);
+        m_objects[key] = content;
+        return {};
+    }
+
+private:
+    std::mutex m_mutex;
+    std::map<std::string, std::string> m_objects;
+};
+
+/// One VM of a TestFleet.
+class TestVm final : public Roster, public WithdrawalSpreader
+{
+public:
+    TestVm(const std::string &name, const std::string &region, TableService &tables, ObjectStore &objects,
+           const Clock &clock)
+        : path(tables), log(path, objects)
+    {
+        KeeperSettings settings;
+        settings.self = { VmId(name), Incarnation(1) };
+        settings.place = { RegionId(region), AvailabilityZoneId(region + "-a") };
+        auto created = capture([&] {
+            return ConfigurationKeeper::create(settings, log, clock);
+        });
+        keeper = std::move(created.value());
+        entry.process = settings.self;
+        entry.place = settings.place;
+    }
+
+    std::vector<RosterVm> vms(TimePoint) const override
+    {
+        std::vector<RosterVm> result;
+        for (const TestVm *vm : known) {
+            RosterVm current = vm->entry;
+            current.confirmedVersion = vm->isSilent ? ConfigurationVersion() : vm->keeper->configuration()->version;
+            result.push_back(current);
+        }
+        return result;
+    }
+    std::set<VmId> listedVms() const override
+    {
+        return listed;
+    }
+    std::size_t spread(const std::set<KeyId> &keys, Deadline) override
+    {
+        std::size_t count = 0;
+        for (TestVm *vm : known) {
+            if (vm != this && !vm->isSilent) {
+                vm->keeper->takeWithdrawals(keys);
+                ++count;
+            }
+        }
+        return count;
+    }
+    Outcome<Receipt> submit(const Command &command)
+    {
+        return capture([&] {
+            return keeper->submit(command, Deadline::never());
+        });
+    }
+    ConfigurationVersion version() const
+    {
+        return keeper->configuration()->version;
+    }
+
+    TablePath path;
+    ConfigurationLog log;
+    std::unique_ptr<ConfigurationKeeper> keeper;
+    RosterVm entry;
+    std::vector<TestVm *> known;
+    std::set<VmId> listed;
+    bool isSilent { false }; ///< Cut off from all other VMs.
+};
+
+/// One VM in each of three regions, joined by direct calls, over one store.
+class TestFleet
+{
+public:
+    TestFleet()
+    {
+        for (const char *region : { "cuyo", "pampa", "norte" }) {
+            vms.push_back(make(std::string("vm-") + region, region));
+        }
+        join();
+        tick();
+    }
+
+    std::unique_ptr<TestVm> make(const std::string &name, const std::string &region)
+    {
+        return std::make_unique<TestVm>(name, region, tables, objects, clock);
+    }
+    void join()
+    {
+        std::vector<TestVm *> all;
+        std::set<VmId> listed;
+        for (const auto &vm : vms) {
+            all.push_back(vm.get());
+            listed.insert(vm->entry.process.vm);
+        }
+        for (const auto &vm : vms) {
+            vm->known = all;
+            vm->listed = listed;
+            vm->keeper->connect(*vm, *vm);
+        }
+    }
+    /// Lets the duty of each VM work, and no time pass.
+    void tick()
+    {
+        for (const auto &vm : vms) {
+            vm->keeper->noteTick(clock.now());
+            vm->keeper->tick(clock.now());
+        }
+    }
+    /// Lets time pass in steps short enough to be no pause.
+    void advance(int seconds)
+    {
+        for (int i = 0; i < 2 * seconds; ++i) {
+            clock.advance(Microseconds(500'000));
+            tick();
+        }
+    }
+    /// One VM pulls from another, as the exchange between VMs does.
+    void pull(TestVm &receiver, const TestVm &peer)
+    {
+        const TimePoint now = clock.now();
+        receiver.keeper->takeEntries(peer.keeper->entriesAfter(receiver.version(), 64));
+        for (const Statement &statement : peer.keeper->newestStatements(now)) {
+            receiver.keeper->takeStatement(statement, now);
+        }
+    }
+    TestVm &operator[](std::size_t index)
+    {
+        return *vms[index];
+    }
+    void cutStore(bool isCut)
+    {
+        for (const auto &vm : vms) {
+            vm->path.isCut = isCut;
+        }
+    }
+
+    ManualClock clock;
+    FakeTableService tables;
+    FakeObjectStore objects;
+    std::vector<std::unique_ptr<TestVm>> vms;
+};
+
+} // namespace Sapphire
