--- a/Libraries/LibCore/StrongId.h
+++ b/Libraries/LibCore/StrongId.h
@@ -28,7 +28,8 @@
         return m_value.empty();
     }
 
-    friend auto operator<=>(const StrongId &, const StrongId &) = default;
+    // clang-tidy takes the 0 of the rewritten comparisons for a null pointer.
+    friend auto operator<=>(const StrongId &, const StrongId &) = default; // NOLINT(modernize-use-nullptr)
     friend std::ostream &operator<<(std::ostream &stream, const StrongId &id)
     {
         return stream << id.m_value;
