LibFleet: Rename the spreader of withdrawals, which implements the interface of LibConfiguration

Cause: two classes of one name in two libraries, one the interface of the other: one definition too many at link time. Ruled out: an adapter between them, since the signatures agree. Before: clash. After: the fleet's class implements the interface. Conclusion: none further.

--- a/Libraries/LibFleet/FleetServer.h
+++ b/Libraries/LibFleet/FleetServer.h
@@ -5,7 +5,7 @@
 #include <LibFleet/ExchangeBuilder.h>
 #include <LibFleet/RequestStateSource.h>
 #include <LibFleet/SnapshotExchange.h>
-#include <LibFleet/WithdrawalSpreader.h>
+#include <LibFleet/FleetWithdrawalSpreader.h>
 #include <LibSteering/Loan.h>
 
 #include <memory>
@@ -22,7 +22,7 @@
     Lender &lender;
     RequestHandler &requests; ///< Runs the requests that other VMs forward; called from several threads.
     RequestStateSource &states;
-    WithdrawalSpreader &withdrawals;
+    FleetWithdrawalSpreader &withdrawals;
     const Clock &clock;
 };
 
--- a/Libraries/LibFleet/WithdrawalSpreader.cpp
+++ b/Libraries/LibFleet/FleetWithdrawalSpreader.cpp
@@ -1,4 +1,4 @@
-#include <LibFleet/WithdrawalSpreader.h>
+#include <LibFleet/FleetWithdrawalSpreader.h>
 
 namespace Sapphire {
 
@@ -8,25 +8,25 @@
 
 }
 
-WithdrawalSpreader::WithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
-                                       WithdrawalSpreaderSettings settings)
+FleetWithdrawalSpreader::FleetWithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
+                                       FleetWithdrawalSpreaderSettings settings)
     : m_client(client)
     , m_membership(membership)
     , m_clock(clock)
     , m_settings(settings)
     , m_selection(membership.self().vm, membership.place())
     , m_ring(settings.queueLimit)
-    , m_thread(&WithdrawalSpreader::run, this)
+    , m_thread(&FleetWithdrawalSpreader::run, this)
 {
 }
 
-WithdrawalSpreader::~WithdrawalSpreader()
+FleetWithdrawalSpreader::~FleetWithdrawalSpreader()
 {
     m_ring.close();
     m_thread.join();
 }
 
-std::size_t WithdrawalSpreader::spread(const std::set<KeyId> &keys, Deadline deadline)
+std::size_t FleetWithdrawalSpreader::spread(const std::set<KeyId> &keys, Deadline deadline)
 {
     std::vector<VmId> vms;
     for (const PeerCandidate &peer : m_selection.peers(m_membership.candidates(m_clock.now()), 0)) {
@@ -35,13 +35,13 @@
     return m_client.withdraw(vms, keys, deadline);
 }
 
-void WithdrawalSpreader::passOn(std::set<KeyId> keys)
+void FleetWithdrawalSpreader::passOn(std::set<KeyId> keys)
 {
     // NOTE: A full ring is no loss, since each statement of this VM carries the keys too.
     static_cast<void>(m_ring.tryPush(std::move(keys)));
 }
 
-void WithdrawalSpreader::run()
+void FleetWithdrawalSpreader::run()
 {
     while (true) {
         std::optional<std::set<KeyId>> keys = m_ring.pop(longestWait);
--- a/Libraries/LibFleet/WithdrawalSpreader.h
+++ b/Libraries/LibFleet/FleetWithdrawalSpreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfiguration/WithdrawalSpreader.h>
 #include <LibCore/BoundedRing.h>
 #include <LibCore/Clock.h>
 #include <LibFleet/FleetClient.h>
@@ -9,22 +10,22 @@
 
 namespace Sapphire {
 
-struct WithdrawalSpreaderSettings
+struct FleetWithdrawalSpreaderSettings
 {
     std::size_t queueLimit { 256 }; ///< Withdrawals that wait to be passed on.
     Milliseconds passOnTimeout { 1'000 };
 };
 
 /// Pushes withdrawals of keys to the peers at once, ahead of the exchange, which carries them too.
-class WithdrawalSpreader
+class FleetWithdrawalSpreader final : public WithdrawalSpreader
 {
 public:
-    WithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
-                       WithdrawalSpreaderSettings settings = {});
-    ~WithdrawalSpreader();
+    FleetWithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
+                       FleetWithdrawalSpreaderSettings settings = {});
+    ~FleetWithdrawalSpreader() override;
 
     /// Pushes the keys to all peers and returns the number of those that acknowledged by the deadline.
-    std::size_t spread(const std::set<KeyId> &keys, Deadline deadline);
+    std::size_t spread(const std::set<KeyId> &keys, Deadline deadline) override;
     /// Pushes keys that another VM sent, from a thread of its own. If too many are waiting, these are left to
     /// the exchange.
     void passOn(std::set<KeyId> keys);
@@ -35,7 +36,7 @@
     FleetClient &m_client;
     const Membership &m_membership;
     const Clock &m_clock;
-    const WithdrawalSpreaderSettings m_settings;
+    const FleetWithdrawalSpreaderSettings m_settings;
     const PeerSelection m_selection;
     BoundedRing<std::set<KeyId>> m_ring;
     std::thread m_thread;
--- a/Libraries/LibFleet/GossipDuty.h
+++ b/Libraries/LibFleet/GossipDuty.h
@@ -4,7 +4,7 @@
 #include <LibFleet/FleetClient.h>
 #include <LibFleet/PeerSelection.h>
 #include <LibFleet/SnapshotExchange.h>
-#include <LibFleet/WithdrawalSpreader.h>
+#include <LibFleet/FleetWithdrawalSpreader.h>
 
 #include <atomic>
 #include <map>
@@ -20,7 +20,7 @@
     Membership &membership;
     ConfigurationExchange &configuration;
     SnapshotExchange &snapshots;
-    WithdrawalSpreader &withdrawals;
+    FleetWithdrawalSpreader &withdrawals;
     const Clock &clock;
 };
 
