LibTarget: Choose targets, retry what has not run and observe health

ServiceTargets owns the selectors, pools and states of the own region's targets. It tries another target only when the last attempt has not run, or the request is idempotent, and the caller's budget allows it; it lets a request wait for room as long as it can still be served by its deadline; it tells which requests were in flight when a target died. TargetObserver asks all its targets from one thread over one poll, so that silent targets don't delay the others.

--- a/Libraries/LibSteering/TargetSelector.cpp
+++ b/Libraries/LibSteering/TargetSelector.cpp
@@ -284,6 +284,17 @@
     return room;
 }
 
+Microseconds TargetSelector::usualLatency(TimePoint now) const
+{
+    Microseconds highest {};
+    for (const auto &[target, entry] : m_entries) {
+        if (!entry.state.isDraining() && takesWork(entry, now)) {
+            highest = std::max(highest, entry.state.usualLatency());
+        }
+    }
+    return highest;
+}
+
 const TargetState *TargetSelector::state(const TargetId &target) const
 {
     const auto found = m_entries.find(target);
--- a/Libraries/LibSteering/TargetSelector.h
+++ b/Libraries/LibSteering/TargetSelector.h
@@ -80,6 +80,8 @@
 
     /// Slots and busy slots of the targets that take new work; the region and service are left empty.
     RegionRoom room(TimePoint now) const;
+    /// Returns the highest usual latency of the targets that take new work; zero if none is known.
+    Microseconds usualLatency(TimePoint now) const;
     /// Returns nothing for an unknown target.
     const TargetState *state(const TargetId &target) const;
     bool isEjected(const TargetId &target) const
--- /dev/null
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -0,0 +1,410 @@
+#include <LibTarget/ServiceTargets.h>
+
+#include <LibTarget/LibTargetEvents.h>
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr int mostAttempts = 6;
+constexpr std::size_t prefetchBytes = 16384;
+// Observers, restarted VMs and connections that are being closed take the rest of a target's limit.
+constexpr double usableConnectionShare = 0.8;
+constexpr Milliseconds probeTimeout { 100 };
+constexpr Milliseconds longestWaitSlice { 20 };
+constexpr Milliseconds reportLifetime { 10'000 };
+constexpr int firstServerError = 500;
+// A deadline that leaves less than this shows nothing of a target that did not answer in time.
+constexpr int silenceFactor = 3;
+constexpr Milliseconds leastSilence { 200 };
+constexpr Milliseconds leastSilenceIfUnknown { 1'000 };
+
+int connectionsPerVm(const TargetRecord &record, std::size_t vms)
+{
+    const double share =
+        record.connectionLimit * usableConnectionShare / static_cast<double>(std::max<std::size_t>(vms, 1));
+    return std::clamp(static_cast<int>(share), ConnectionPool::leastLimit, ConnectionPool::mostLimit);
+}
+
+} // namespace
+
+ServiceTargets::ServiceTargets(ServiceTargetsSettings settings, const Clock &clock, TargetDeathListener *listener)
+    : m_settings(std::move(settings)), m_clock(clock), m_listener(listener)
+{
+}
+
+void ServiceTargets::update(const Configuration &configuration, const std::vector<VmId> &vmsOfRegion)
+{
+    std::map<ServiceId, std::vector<const TargetRecord *>> records;
+    for (const auto &[id, service] : configuration.services) {
+        records[id];
+    }
+    for (const auto &[id, target] : configuration.targets) {
+        const auto service = records.find(target.service);
+        if (service != records.end() && target.place.region == m_settings.region) {
+            service->second.push_back(&target);
+        }
+    }
+    const std::unique_lock lock(m_mutex);
+    for (const auto &[id, targets] : records) {
+        RefPointer<Service> &service = m_services[id];
+        if (!service) {
+            service = makeRefCounted<Service>(m_settings.slotPolicy);
+        }
+        updateService(*service, targets, vmsOfRegion);
+    }
+    std::erase_if(m_services, [&](const auto &entry) {
+        return !records.contains(entry.first);
+    });
+}
+
+void ServiceTargets::updateService(Service &service, const std::vector<const TargetRecord *> &records,
+                                   const std::vector<VmId> &vmsOfRegion)
+{
+    const std::lock_guard guard(service.mutex);
+    std::map<TargetId, RefPointer<TargetEntry>> targets;
+    std::vector<SelectableTarget> selectable;
+    for (const TargetRecord *record : records) {
+        const int limit = connectionsPerVm(*record, vmsOfRegion.size());
+        RefPointer<TargetEntry> entry = makeEntry(*record, limit);
+        if (!entry) {
+            continue;
+        }
+        const auto existing = service.targets.find(record->id);
+        if (existing != service.targets.end() && existing->second->pool().address() == entry->pool().address()) {
+            entry = existing->second;
+            entry->pool().setLimit(limit);
+        }
+        targets.emplace(record->id, std::move(entry));
+        // A request in flight needs a connection of its own.
+        selectable.push_back({ record->id, std::min(record->slots, limit), record->isDrained });
+    }
+    for (const auto &[id, entry] : service.targets) {
+        const auto kept = targets.find(id);
+        if (kept == targets.end() || kept->second != entry) {
+            entry->pool().close();
+        }
+    }
+    service.targets = std::move(targets);
+    service.selector.setTargets(selectable, m_clock.now());
+    service.selector.setVms(m_settings.ownVm, vmsOfRegion);
+    service.roomMayExist.notify_all();
+}
+
+RefPointer<TargetEntry> ServiceTargets::makeEntry(const TargetRecord &record, int connectionLimit) const
+{
+    try {
+        const Poco::Net::SocketAddress address(record.address);
+        return makeRefCounted<TargetEntry>(record.id, record.place, m_settings.ownVm, address, connectionLimit,
+                                           m_clock);
+    } catch (const Poco::Exception &) {
+        logEvent(TargetEvents::targetAddressInvalid, { { "target", record.id }, { "address", record.address } });
+        return nullptr;
+    }
+}
+
+RefPointer<ServiceTargets::Service> ServiceTargets::find(const ServiceId &id) const
+{
+    const std::shared_lock lock(m_mutex);
+    const auto found = m_services.find(id);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+std::vector<std::pair<ServiceId, RefPointer<ServiceTargets::Service>>> ServiceTargets::services() const
+{
+    const std::shared_lock lock(m_mutex);
+    return { m_services.begin(), m_services.end() };
+}
+
+ExchangeReport ServiceTargets::run(const RequestHead &head, BodySource &body, AnswerSink &sink,
+                                   const RunContext &context)
+{
+    const RefPointer<Service> service = find(head.service);
+    if (!service) {
+        return { Refusal { RefusalReason::NoSuchService, Verdict::NotRun, "no service " + head.service.text() } };
+    }
+    // Read before a target is chosen, so that a slow caller holds no slot for a small body.
+    ReplayableBody replayable(body);
+    replayable.prefetch(std::min<std::uint64_t>(head.bodyBytes.value_or(1), prefetchBytes));
+    std::set<TargetId> excluded;
+    Verdict verdict = Verdict::NotRun;
+    for (int attempts = 1;; ++attempts) {
+        const Choice choice = choose(*service, head, sink, excluded);
+        if (!choice.target) {
+            Refusal refusal = refusalOf(choice.selection);
+            refusal.verdict = verdict;
+            return { std::move(refusal) };
+        }
+        AttemptReport report = runAttempt(*service, choice, head, replayable, sink, context.fingerprint);
+        if (!report.exchange.refusal) {
+            return report.exchange;
+        }
+        verdict = combine(verdict, report.exchange.refusal->verdict);
+        if (attempts == mostAttempts || !mayTryAgain(head, report, replayable) || head.deadline.hasPassed(m_clock.now())
+            || !context.mayRetry || !context.mayRetry(report)) {
+            report.exchange.refusal->verdict = verdict;
+            return report.exchange;
+        }
+        replayable.rewind();
+        // A target that shed is left out by the selector until it may have room again.
+        if (report.end != AttemptEnd::Shed) {
+            excluded.insert(choice.attempt.target);
+        }
+    }
+}
+
+bool ServiceTargets::mayTryAgain(const RequestHead &head, const AttemptReport &report, const ReplayableBody &body)
+{
+    if (report.exchange.isAnswerStarted || !body.isReplayable() || report.end == AttemptEnd::CallerEnded) {
+        return false;
+    }
+    return report.exchange.verdict() == Verdict::NotRun || head.isIdempotent;
+}
+
+Refusal ServiceTargets::refusalOf(const Selection &selection)
+{
+    Refusal refusal { RefusalReason::NoHealthyTarget, Verdict::NotRun, "no target of the region takes work" };
+    if (selection.end == SelectionEnd::NoRoom) {
+        refusal.reason = RefusalReason::NoCapacity;
+        refusal.detail = "all targets of the region are full";
+    }
+    refusal.retryAt = selection.retryAt;
+    return refusal;
+}
+
+ServiceTargets::Choice ServiceTargets::choose(Service &service, const RequestHead &head, const AnswerSink &sink,
+                                              const std::set<TargetId> &excluded)
+{
+    std::unique_lock lock(service.mutex);
+    const TimePoint start = m_clock.now();
+    std::optional<Deadline> waitLimit;
+    Choice choice;
+    while (true) {
+        const TimePoint now = m_clock.now();
+        choice.selection = service.selector.select(now, service.random, excluded, head.isIdempotent);
+        if (choice.selection.end == SelectionEnd::Selected) {
+            choice.attempt = service.selector.begin(choice.selection, now);
+            choice.target = service.targets.at(choice.selection.target);
+            return choice;
+        }
+        if (!waitLimit) {
+            const Deadline latestStart(head.deadline.at() - service.selector.usualLatency(now));
+            waitLimit = Deadline::after(start, m_settings.longestWait).earlier(latestStart);
+        }
+        if (!waitForRoom(service, lock, choice.selection, *waitLimit, sink)) {
+            return choice;
+        }
+    }
+}
+
+bool ServiceTargets::waitForRoom(Service &service, std::unique_lock<std::mutex> &lock, const Selection &selection,
+                                 Deadline waitLimit, const AnswerSink &sink)
+{
+    const TimePoint now = m_clock.now();
+    // More waiting requests than slots would mostly be refused after all, only later.
+    const bool isCrowded = service.waiting >= service.selector.room(now).slots;
+    if (selection.end != SelectionEnd::NoRoom || waitLimit.hasPassed(now) || isCrowded || sink.isCancelled()) {
+        return false;
+    }
+    Deadline next = waitLimit.earlier(Deadline::after(now, longestWaitSlice));
+    if (selection.retryAt) {
+        next = next.earlier(*selection.retryAt);
+    }
+    ++service.waiting;
+    service.roomMayExist.wait_for(lock, next.remaining(now) + Microseconds(1));
+    --service.waiting;
+    return true;
+}
+
+AttemptReport ServiceTargets::runAttempt(Service &service, const Choice &choice, const RequestHead &head,
+                                         BodySource &body, AnswerSink &sink, const std::string &fingerprint)
+{
+    const auto inFlight = choice.target->noteStart(fingerprint);
+    AttemptReport report = choice.target->exchange().run(head, body, sink);
+    if (report.end == AttemptEnd::ConnectionLost || report.end == AttemptEnd::AnswerCut) {
+        checkDeath(service, choice);
+    }
+    if (report.end == AttemptEnd::AnswerCut) {
+        logEvent(TargetEvents::answerCut,
+                 { { "target", choice.attempt.target }, { "detail", report.exchange.refusal->detail } });
+    }
+    if (report.end == AttemptEnd::Silent) {
+        choice.target->pool().closeIdleBefore(report.sentAt);
+    }
+    const bool hasAnswered = report.end == AttemptEnd::Answered || report.end == AttemptEnd::Shed;
+    choice.target->noteEnd(inFlight, hasAnswered);
+    noteEnd(service, choice, report);
+    return report;
+}
+
+void ServiceTargets::noteEnd(Service &service, const Choice &choice, const AttemptReport &report)
+{
+    bool isEjected = false;
+    {
+        const std::lock_guard guard(service.mutex);
+        const AttemptOutcome outcome = outcomeOf(service, report, choice.attempt.target);
+        isEjected = service.selector.end(choice.attempt, outcome, report.latency, m_clock.now(), service.random);
+    }
+    service.roomMayExist.notify_one();
+    if (isEjected) {
+        logEvent(TargetEvents::targetEjected,
+                 { { "target", choice.attempt.target }, { "lastAttempt", nameOf(report.end) } });
+    }
+}
+
+AttemptOutcome ServiceTargets::outcomeOf(const Service &service, const AttemptReport &report,
+                                         const TargetId &target) const
+{
+    switch (report.end) {
+    case AttemptEnd::Answered:
+        return report.status >= firstServerError ? AttemptOutcome::ServerError : AttemptOutcome::Success;
+    case AttemptEnd::Shed:
+        return AttemptOutcome::Shed;
+    case AttemptEnd::ConnectFailed:
+    case AttemptEnd::ConnectionLost:
+    case AttemptEnd::AnswerCut:
+        return AttemptOutcome::Failure;
+    case AttemptEnd::Silent: {
+        const TargetState *state = service.selector.state(target);
+        const Microseconds usual = state == nullptr ? Microseconds(0) : state->usualLatency();
+        const Microseconds enough = usual == Microseconds(0)
+            ? Microseconds(leastSilenceIfUnknown)
+            : std::max<Microseconds>(usual * silenceFactor, leastSilence);
+        // Old connections may be silent while new ones work, so that only a new one shows that the target is.
+        const bool isFault = !report.wasReused && m_clock.now() - report.sentAt >= enough;
+        return isFault ? AttemptOutcome::Failure : AttemptOutcome::Nothing;
+    }
+    case AttemptEnd::OwnLimit:
+    case AttemptEnd::CallerEnded:
+        break;
+    }
+    return AttemptOutcome::Nothing;
+}
+
+void ServiceTargets::checkDeath(Service &service, const Choice &choice)
+{
+    const WaitLimit limit { Deadline::after(m_clock.now(), probeTimeout) };
+    const auto probe = capture([&] {
+        return TargetConnection::create(choice.target->pool().address(), m_clock, limit);
+    });
+    if (probe || probe.error().code != ErrorCode::Unavailable) {
+        return;
+    }
+    // This request is still counted as in flight, and so are others whose end was not seen yet.
+    std::optional<std::vector<std::string>> fingerprints = choice.target->noteDied();
+    if (!fingerprints) {
+        return;
+    }
+    choice.target->pool().closeIdleBefore(TimePoint::max());
+    const TimePoint now = m_clock.now();
+    TargetDeath death { choice.attempt.target, now, std::move(*fingerprints) };
+    {
+        const std::lock_guard guard(service.mutex);
+        const TargetState *state = service.selector.state(choice.attempt.target);
+        const bool othersWork = state != nullptr && state->busySlots(now) > 1;
+        death.isAlone = death.fingerprints.size() == 1 && !othersWork;
+        service.selector.noteDied(choice.attempt.target, now, service.random);
+    }
+    logEvent(TargetEvents::targetDied,
+             { { "target", death.target }, { "inFlight", death.fingerprints.size() }, { "alone", death.isAlone } });
+    if (m_listener != nullptr) {
+        m_listener->targetDied(death);
+    }
+}
+
+void ServiceTargets::takeReport(const TargetReport &report)
+{
+    {
+        const std::lock_guard guard(m_reportMutex);
+        TargetReport &newest = m_reports[{ report.target, report.observer }];
+        if (report.observedAt <= newest.observedAt) {
+            return;
+        }
+        newest = report;
+    }
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard guard(service->mutex);
+        service->selector.takeReport(report);
+    }
+}
+
+std::vector<TargetReport> ServiceTargets::ownReports() const
+{
+    std::vector<TargetReport> own = reports();
+    std::erase_if(own, [this](const TargetReport &report) {
+        return report.observer != m_settings.ownVm;
+    });
+    return own;
+}
+
+std::vector<TargetReport> ServiceTargets::reports() const
+{
+    const std::lock_guard guard(m_reportMutex);
+    const TimePoint now = m_clock.now();
+    std::vector<TargetReport> recent;
+    for (const auto &[key, report] : m_reports) {
+        if (now - report.observedAt < reportLifetime) {
+            recent.push_back(report);
+        }
+    }
+    return recent;
+}
+
+std::vector<RegionRoom> ServiceTargets::rooms() const
+{
+    std::vector<RegionRoom> rooms;
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard guard(service->mutex);
+        RegionRoom room = service->selector.room(m_clock.now());
+        room.region = m_settings.region;
+        room.service = id;
+        rooms.push_back(std::move(room));
+    }
+    return rooms;
+}
+
+std::vector<ObservableTarget> ServiceTargets::observableTargets() const
+{
+    std::vector<ObservableTarget> targets;
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard guard(service->mutex);
+        for (const auto &[target, entry] : service->targets) {
+            targets.push_back({ target, entry->pool().address() });
+        }
+    }
+    return targets;
+}
+
+void ServiceTargets::tick()
+{
+    const TimePoint now = m_clock.now();
+    for (const auto &[id, service] : services()) {
+        std::vector<TargetId> ejected;
+        {
+            const std::lock_guard guard(service->mutex);
+            ejected = service->selector.ejectOutliers(now, service->random);
+            for (const auto &[target, entry] : service->targets) {
+                const TargetState *state = service->selector.state(target);
+                if (state != nullptr && state->isDraining()) {
+                    entry->pool().close();
+                } else {
+                    entry->pool().reopen();
+                }
+                entry->pool().closeExpired(now);
+            }
+        }
+        for (const TargetId &target : ejected) {
+            logEvent(TargetEvents::targetEjected, { { "target", target }, { "lastAttempt", "outlier" } });
+        }
+    }
+    const std::lock_guard guard(m_reportMutex);
+    std::erase_if(m_reports, [&](const auto &entry) {
+        return now - entry.second.observedAt >= reportLifetime;
+    });
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibTarget/TargetProbe.cpp
@@ -0,0 +1,217 @@
+#include <LibTarget/TargetProbe.h>
+
+#include <LibTarget/ChunkedDecoder.h>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace Sapphire {
+
+namespace {
+
+// Both answers are a few dozen bytes; a target that sends much more is failing.
+constexpr std::size_t mostAnswerBytes = 16384;
+constexpr int mostSlots = 1'000'000;
+
+/// Returns an empty object for a text that is none.
+Poco::JSON::Object::Ptr parseObject(const std::string &text)
+{
+    try {
+        Poco::JSON::Parser parser;
+        return parser.parse(text).extract<Poco::JSON::Object::Ptr>();
+    } catch (const Poco::Exception &) {
+        return new Poco::JSON::Object;
+    }
+}
+
+int count(const Poco::JSON::Object &object, const char *name)
+{
+    try {
+        return std::clamp(object.getValue<int>(name), 0, mostSlots);
+    } catch (const Poco::Exception &) {
+        return 0;
+    }
+}
+
+} // namespace
+
+TargetProbe::TargetProbe(TargetId target, VmId observer, const Poco::Net::SocketAddress &address)
+    : m_target(std::move(target)), m_observer(std::move(observer)), m_address(address)
+{
+}
+
+void TargetProbe::begin(TimePoint now)
+{
+    m_report = TargetReport { m_target, m_observer, now };
+    m_isReused = m_socket.has_value();
+    if (m_socket) {
+        ask("/health", Step::Health, now);
+    } else {
+        connect(now);
+    }
+}
+
+void TargetProbe::connect(TimePoint now)
+{
+    try {
+        m_socket.emplace();
+        m_socket->connectNB(m_address);
+        m_step = Step::Connecting;
+    } catch (const Poco::Exception &) {
+        m_socket.reset();
+        finish(TargetHealth::Unreachable, now);
+    }
+}
+
+void TargetProbe::ask(const char *path, Step step, TimePoint now)
+{
+    m_input.clear();
+    m_step = step;
+    const std::string text = std::string("GET ") + path + " HTTP/1.1\r\nHost: " + m_address.toString() + "\r\n\r\n";
+    const ssize_t sent = ::send(m_socket->impl()->sockfd(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent != static_cast<ssize_t>(text.size())) {
+        lose(now);
+    }
+}
+
+void TargetProbe::prepare(pollfd &entry) const
+{
+    entry.fd = m_socket->impl()->sockfd();
+    entry.events = m_step == Step::Connecting ? POLLOUT : POLLIN;
+    entry.revents = 0;
+}
+
+void TargetProbe::proceed(short events, TimePoint now)
+{
+    if (events == 0 || isDone()) {
+        return;
+    }
+    if (m_step != Step::Connecting) {
+        receive(now);
+    } else if (m_socket->impl()->socketError() != 0) {
+        lose(now);
+    } else {
+        ask("/health", Step::Health, now);
+    }
+}
+
+void TargetProbe::receive(TimePoint now)
+{
+    std::array<char, 4096> buffer {};
+    const ssize_t received = ::recv(m_socket->impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (received < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (received <= 0 || m_input.size() > mostAnswerBytes) {
+        lose(now);
+        return;
+    }
+    m_input.append(buffer.data(), static_cast<std::size_t>(received));
+    const auto answer = capture([this] {
+        return takeAnswer();
+    });
+    if (!answer) {
+        m_socket.reset();
+        finish(TargetHealth::Failing, now);
+        return;
+    }
+    if (!answer.value()) {
+        return;
+    }
+    if (m_step == Step::Health) {
+        takeHealth(*answer.value());
+        ask("/load", Step::Load, now);
+    } else {
+        takeLoad(*answer.value());
+        finish(m_health, now);
+    }
+}
+
+Result<std::optional<std::string>> TargetProbe::takeAnswer()
+{
+    const std::size_t headEnd = m_input.find("\r\n\r\n");
+    if (headEnd == std::string::npos) {
+        return std::optional<std::string>();
+    }
+    const std::size_t bodyStart = headEnd + 4;
+    Poco::Net::HTTPResponse head;
+    try {
+        Poco::MemoryInputStream stream(m_input.data(), static_cast<std::streamsize>(bodyStart));
+        head.read(stream);
+    } catch (const Poco::Exception &exception) {
+        return fail(ErrorCode::DataLoss, exception.displayText());
+    }
+    m_hasFailedStatus = head.getStatus() != Poco::Net::HTTPResponse::HTTP_OK;
+    if (head.getChunkedTransferEncoding()) {
+        ChunkedDecoder decoder;
+        std::string body(m_input.size(), '\0');
+        BOOST_LEAF_AUTO(progress, decoder.decode(std::span(m_input).subspan(bodyStart), body));
+        body.resize(progress.produced);
+        return decoder.isAtEnd() ? std::optional(body) : std::nullopt;
+    }
+    if (!head.hasContentLength() || head.getContentLength64() < 0) {
+        return fail(ErrorCode::DataLoss, "neither Content-Length nor chunked");
+    }
+    const auto length = static_cast<std::size_t>(head.getContentLength64());
+    return m_input.size() - bodyStart < length ? std::nullopt : std::optional(m_input.substr(bodyStart, length));
+}
+
+void TargetProbe::takeHealth(const std::string &body)
+{
+    const Poco::JSON::Object::Ptr object = parseObject(body);
+    const std::string status = object->optValue<std::string>("status", "");
+    m_health = TargetHealth::Failing;
+    if (status == "draining") {
+        m_health = TargetHealth::Draining;
+    } else if (status == "ok" && !m_hasFailedStatus) {
+        m_health = TargetHealth::Ok;
+    }
+}
+
+void TargetProbe::takeLoad(const std::string &body)
+{
+    if (m_hasFailedStatus) {
+        return;
+    }
+    const Poco::JSON::Object::Ptr object = parseObject(body);
+    m_report.inFlight = count(*object, "inFlight");
+    m_report.slots = count(*object, "slots");
+}
+
+void TargetProbe::lose(TimePoint now)
+{
+    m_socket.reset();
+    if (m_isReused) {
+        // The target may have closed the idle connection.
+        m_isReused = false;
+        connect(now);
+        return;
+    }
+    finish(TargetHealth::Unreachable, now);
+}
+
+void TargetProbe::giveUp(TimePoint now)
+{
+    // The health may be known although the load isn't.
+    const bool isHealthKnown = m_step == Step::Load;
+    m_socket.reset();
+    finish(isHealthKnown ? m_health : TargetHealth::Unreachable, now);
+}
+
+void TargetProbe::finish(TargetHealth health, TimePoint now)
+{
+    m_step = Step::Done;
+    m_report.health = health;
+    m_report.latency = now - m_report.observedAt;
+}
+
+} // namespace Sapphire
