LibDaemon: Join the target service layer and report crashes to the router

Cause: the service layer of the targets was merged; the daemon needs it for requests, rooms, reports and deaths of targets. Ruled out: a listener inside the runner (it must exist before the targets). Before: the daemon didn't build.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -87,9 +87,9 @@
     , m_ledger(m_claims, m_journal, m_clock, { m_process })
     , m_ledgerStates(m_ledger, m_process, m_clock)
     , m_requestStates(m_ledger, m_peers, m_process)
-    , m_targets(m_settings.vm, m_settings.place, m_clock, m_settings.slotPolicy)
-    , m_observer(m_targets, m_membership, m_clock)
-    , m_localTargets(m_targets, m_tracer)
+    , m_targets({ m_settings.vm, m_settings.place.region, m_settings.slotPolicy }, m_clock, &m_crashReporter)
+    , m_observer({ m_settings.vm, m_settings.place.region }, m_membership, m_targets, m_clock)
+    , m_localTargets(m_targets, m_tracer, m_settings.vm)
     , m_knowledge(m_targets, m_settings.place.region)
     , m_router({ m_keeper, m_membership, m_localTargets, m_peers, m_clock, m_metrics, m_tracer }, m_settings.vm,
                m_settings.place.region)
@@ -110,6 +110,7 @@
     m_keeper.connect(m_membership, m_spreader);
     m_knowledge.connect(m_router);
     m_localTargets.connect(m_router);
+    m_crashReporter.connect(m_router);
     registerGauges();
 }
 
@@ -242,9 +243,14 @@
             vmsOfRegion.push_back(vm.process.vm);
         }
     }
-    m_targets.update(*configuration, vmsOfRegion, now);
-    m_router.adjust(m_knowledge.rooms(now), [this, now](const ServiceId &service) {
-        return m_targets.isSlow(service, now);
+    if (configuration->version != m_targetsVersion || vmsOfRegion != m_targetsVms) {
+        m_targets.update(*configuration, vmsOfRegion);
+        m_targetsVersion = configuration->version;
+        m_targetsVms = vmsOfRegion;
+    }
+    m_targets.tick();
+    m_router.adjust(m_knowledge.rooms(now), [this](const ServiceId &service) {
+        return m_targets.isSlow(service);
     });
 }
 
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -3,6 +3,7 @@
 #include <LibCaller/CallerServer.h>
 #include <LibConfiguration/ConfigurationKeeper.h>
 #include <LibCore/BootClock.h>
+#include <LibDaemon/CrashReporter.h>
 #include <LibDaemon/DaemonSettings.h>
 #include <LibDaemon/DaemonViews.h>
 #include <LibDaemon/DutyThread.h>
@@ -96,6 +97,7 @@
     LedgerStates m_ledgerStates;
     RequestStates m_requestStates;
 
+    CrashReporter m_crashReporter;
     ServiceTargets m_targets;
     TargetObserver m_observer;
     LocalTargetRunner m_localTargets;
@@ -120,6 +122,7 @@
     std::unique_ptr<OperatorServer> m_operatorServer;
     bool m_isListLost { false };
     ConfigurationVersion m_targetsVersion;
+    std::vector<VmId> m_targetsVms;
     std::vector<std::unique_ptr<DutyThread>> m_duties;
 };
 
--- a/Libraries/LibDaemon/LocalTargetRunner.h
+++ b/Libraries/LibDaemon/LocalTargetRunner.h
@@ -6,12 +6,12 @@
 
 namespace Sapphire {
 
-/// Runs requests at the own region's targets, with the router's retry budget and search for crashing requests.
-class LocalTargetRunner final : public LocalTargets, public TargetDeathListener
+/// Runs requests at the own region's targets within the router's retry budget.
+class LocalTargetRunner final : public LocalTargets
 {
 public:
-    LocalTargetRunner(ServiceTargets &targets, Tracer &tracer);
-    /// Joins it with the router, which needs it first.
+    LocalTargetRunner(ServiceTargets &targets, Tracer &tracer, VmId ownVm);
+    /// Joins it with the router, which is made after it.
     void connect(RegionRouter &router);
 
     ExchangeReport run(const RequestHead &head, BodySource &body, AnswerSink &sink,
@@ -20,6 +20,7 @@
 private:
     ServiceTargets &m_targets;
     Tracer &m_tracer;
+    VmId m_ownVm;
     RegionRouter *m_router { nullptr };
 };
 
--- a/Libraries/LibDaemon/RegionKnowledge.cpp
+++ b/Libraries/LibDaemon/RegionKnowledge.cpp
@@ -19,9 +19,9 @@
     m_router = &router;
 }
 
-std::vector<TargetReport> RegionKnowledge::reports(TimePoint now) const
+std::vector<TargetReport> RegionKnowledge::reports(TimePoint) const
 {
-    return m_targets.reports(now);
+    return m_targets.reports();
 }
 
 void RegionKnowledge::takeReport(const TargetReport &report, TimePoint)
@@ -31,7 +31,7 @@
 
 std::vector<RegionRoom> RegionKnowledge::rooms(TimePoint now) const
 {
-    std::vector<RegionRoom> result = m_targets.rooms(now);
+    std::vector<RegionRoom> result = m_targets.rooms();
     const std::lock_guard guard(m_mutex);
     for (const auto &[key, room] : m_rooms) {
         if (now - room.statedAt <= roomLifetime) {
--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// A service counts as slow from this multiple of its usual latency.
+constexpr int slowFactor = 2;
+
 constexpr int mostAttempts = 6;
 constexpr std::size_t prefetchBytes = 16384;
 // Observers, restarted VMs and connections that are being closed take the rest of a target's limit.
@@ -367,6 +370,23 @@
     return rooms;
 }
 
+bool ServiceTargets::isSlow(const ServiceId &id) const
+{
+    const RefPointer<Service> service = find(id);
+    if (!service) {
+        return false;
+    }
+    const TimePoint now = m_clock.now();
+    const std::lock_guard guard(service->mutex);
+    std::size_t slow = 0;
+    for (const auto &[target, entry] : service->targets) {
+        const TargetState *state = service->selector.state(target);
+        const bool isKnown = state != nullptr && state->hasSamples(now);
+        slow += isKnown && state->averageLatency() > slowFactor * state->usualLatency() ? 1 : 0;
+    }
+    return slow * 2 > service->targets.size();
+}
+
 std::vector<ObservableTarget> ServiceTargets::observableTargets() const
 {
     std::vector<ObservableTarget> targets;
--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -63,6 +63,8 @@
     /// Returns the newest observation of each target by each observer, as far as it is recent.
     std::vector<TargetReport> reports() const;
     std::vector<RegionRoom> rooms() const;
+    /// Returns whether most of the service's targets answer far slower than they usually do.
+    bool isSlow(const ServiceId &service) const;
     std::vector<ObservableTarget> observableTargets() const;
 
     /// Closes idle connections and looks for outliers. To be called about once a second.
--- a/Tests/LibCaller/CallerFixture.h
+++ b/Tests/LibCaller/CallerFixture.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 namespace Sapphire {
 
@@ -143,6 +144,7 @@
         tracer = Tracer::create("", "test", clock).value();
         limiter = std::make_unique<CustomerLimiter>(process, place, clock, configuration, roster, loans, limits);
         limiter->refresh(clock.now());
+        waitForTokens();
         router = std::make_unique<RegionRouter>(
             RegionRouter::Parts { configuration, roster, targets, peers, clock, metrics, *tracer }, process.vm,
             place.region);
@@ -150,6 +152,16 @@
             EntryHandler::Parts { *router, ledger, states, peers, *limiter, serving, clock }, process);
     }
 
+    /// A new process's bucket is empty and fills only after a while.
+    void waitForTokens()
+    {
+        const Deadline last = Deadline::after(clock.now(), Milliseconds(5'000));
+        while (!limiter->admit(customer, last).isAdmitted() && !last.hasPassed(clock.now())) {
+            std::this_thread::sleep_for(Milliseconds(10));
+        }
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+
     RequestHead booking(const std::string &id) const
     {
         RequestHead head;
