--- a/Libraries/LibLimit/AllotmentKeeper.cpp
+++ b/Libraries/LibLimit/AllotmentKeeper.cpp
@@ -160,13 +160,13 @@
 
 AllotmentKeeper::Progress AllotmentKeeper::update(const CustomerRecord &customer, CustomerState &state, TimePoint now)
 {
-    const Progress read = readRow(customer.id, state, now);
+    const Progress read = readRow(customer.id, state);
     if (read != Progress::Done) {
         return read;
     }
     applyRow(customer.id, state, now);
     m_limiter.noteAllotment(customer.id, state.row, now);
-    if (customer.burst < 1) {
+    if (customer.burst < 1 && state.reads == 1) {
         logEvent(burstTooSmall, { { "customer", customer.id }, { "burst", customer.burst } });
     }
     const AllotmentView known = view(customer, state, now);
@@ -188,7 +188,7 @@
     const Share next = ownShare(decision.next);
     if (next < ownShare(state.row)) {
         limitBelow(state, next);
-        if (!m_limiter.applyShare(customer.id, std::min(next, *state.ceiling), now)) {
+        if (!m_limiter.applyShare(customer.id, m_self, std::min(next, *state.ceiling), now)) {
             return Progress::Later;
         }
     }
@@ -204,7 +204,7 @@
     return writeRow(customer, state, decision.next, now);
 }
 
-AllotmentKeeper::Progress AllotmentKeeper::readRow(const CustomerId &customer, CustomerState &state, TimePoint now)
+AllotmentKeeper::Progress AllotmentKeeper::readRow(const CustomerId &customer, CustomerState &state)
 {
     ++state.reads;
     const Outcome<Row> row = capture([&] {
@@ -222,7 +222,7 @@
         });
         if (!decoded) {
             logEvent(allotmentUnreadable, { { "customer", customer }, { "fault", decoded.error().message } });
-            return Progress::Later;
+            return Progress::Unreadable;
         }
         allotment = decoded.value();
     }
@@ -231,7 +231,6 @@
     if (state.ceiling && state.tag != state.ceilingTag) {
         state.ceiling.reset();
     }
-    static_cast<void>(now);
     return Progress::Done;
 }
 
@@ -271,7 +270,7 @@
     }
     const Share before = m_limiter.share(customer);
     if (granted != before) {
-        m_limiter.applyShare(customer, granted, now);
+        m_limiter.applyShare(customer, m_self, granted, now);
         logEvent(allotmentChanged, { { "customer", customer }, { "before", before }, { "share", granted } });
     }
 }
--- a/Libraries/LibLimit/AllotmentKeeper.h
+++ b/Libraries/LibLimit/AllotmentKeeper.h
@@ -50,6 +50,7 @@
         Done,
         Again, ///< The row was changed by another VM; read it again.
         Later, ///< Loans out must end first.
+        Unreadable, ///< Nothing is done until the row is repaired.
         StoreLost,
     };
 
@@ -58,7 +59,7 @@
     bool isDue(const CustomerId &customer, const CustomerState &state, bool isHome, TimePoint now);
     bool mayHold(const CustomerState &state, bool isHome) const;
     Progress update(const CustomerRecord &customer, CustomerState &state, TimePoint now);
-    Progress readRow(const CustomerId &customer, CustomerState &state, TimePoint now);
+    Progress readRow(const CustomerId &customer, CustomerState &state);
     Progress writeRow(const CustomerRecord &customer, CustomerState &state, const Allotment &next, TimePoint now);
     void applyRow(const CustomerId &customer, CustomerState &state, TimePoint now);
     void limitBelow(CustomerState &state, Share share) const;
--- a/Libraries/LibLimit/CustomerAccount.h
+++ b/Libraries/LibLimit/CustomerAccount.h
@@ -17,6 +17,9 @@
 /// What a VM holds for one customer. Owned and guarded by CustomerLimiter.
 struct CustomerAccount
 {
+    static constexpr Milliseconds shortMemory { 5'000 };
+    static constexpr Milliseconds longMemory { 8'000 };
+
     struct LenderCandidate
     {
         VmId vm;
@@ -32,11 +35,12 @@
     double ratePerSecond { 0 };
     double burst { 0 };
 
-    DemandMeter ownDemand; ///< Requests that arrived here.
-    DemandMeter lentDemand; ///< Tokens that others asked for.
-    DemandMeter regionalDemand; ///< Of these, by VMs of this region.
+    DemandMeter ownDemand { shortMemory }; ///< Requests that arrived here.
+    DemandMeter lentDemand { shortMemory }; ///< Tokens that others asked for.
+    /// Requests that arrived here and tokens that VMs of this region asked for; decides about shares.
+    DemandMeter regionalDemand { longMemory };
 
-    DemandMeter emptyAnswers; ///< Calls that asked for more than there was.
+    DemandMeter emptyAnswers { shortMemory }; ///< Calls that asked for more than there was.
     std::map<VmId, TimePoint> borrowers; ///< When each VM asked last.
 
     int homeSize { 1 };
--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -87,6 +87,7 @@
         attempt.isCounted = true;
         attempt.startedAt = now;
         holder.ownDemand.add(1, now);
+        holder.regionalDemand.add(1, now);
     }
     if (holder.bucket.take(now) || holder.loans.take(now)) {
         return finished(holder, { Admission::Kind::Admitted });
@@ -304,11 +305,11 @@
 {
     std::vector<HomeCandidate> candidates;
     std::map<VmId, RegionId> regions;
-    std::set<VmId> suspects;
+    std::set<VmId> unableToLend;
     for (const RosterVm &vm : m_roster.vms(now)) {
         regions[vm.process.vm] = vm.place.region;
-        if (vm.isSuspect) {
-            suspects.insert(vm.process.vm);
+        if (vm.isSuspect || !vm.isFresh) {
+            unableToLend.insert(vm.process.vm);
         }
         if (!vm.isSuspect && !vm.isLeaving) {
             candidates.push_back({ vm.process.vm, vm.place.region });
@@ -316,10 +317,15 @@
     }
     std::sort(candidates.begin(), candidates.end());
     m_regions = std::move(regions);
-    m_suspects = std::move(suspects);
+    m_unableToLend = std::move(unableToLend);
     m_listedVms = m_roster.listedVms().size();
     if (candidates != m_candidates || m_candidateGeneration == 0) {
         m_candidates = std::move(candidates);
+        std::set<RegionId> candidateRegions;
+        for (const HomeCandidate &candidate : m_candidates) {
+            candidateRegions.insert(candidate.region);
+        }
+        m_regionCount = static_cast<int>(candidateRegions.size());
         ++m_candidateGeneration;
     }
 }
@@ -332,14 +338,12 @@
         knownLoad += entry.demand;
     }
     load = std::max(load, knownLoad);
-    std::set<RegionId> regions;
-    for (const HomeCandidate &candidate : m_candidates) {
-        regions.insert(candidate.region);
-    }
-    account.homeSize =
-        HomeSet::nextSize(account.homeSize, load, account.burst, static_cast<int>(regions.size()), m_settings.homeSet);
-    account.homes = HomeSet::choose(customer, m_candidates, account.homeSize);
-    account.candidateGeneration = m_candidateGeneration;
+    const int size = HomeSet::nextSize(account.homeSize, load, account.burst, m_regionCount, m_settings.homeSet);
+    if (size != account.homeSize || account.candidateGeneration != m_candidateGeneration) {
+        account.homeSize = size;
+        account.homes = HomeSet::choose(customer, m_candidates, size);
+        account.candidateGeneration = m_candidateGeneration;
+    }
     updateLenders(account);
 }
 
@@ -357,7 +361,7 @@
     std::vector<Ranked> ranked;
     std::set<VmId> known { m_self.vm };
     for (const AllotmentEntry &entry : account.knownAllotment.entries) {
-        const bool isReachable = m_regions.contains(entry.process.vm) && !m_suspects.contains(entry.process.vm);
+        const bool isReachable = m_regions.contains(entry.process.vm) && !m_unableToLend.contains(entry.process.vm);
         if (entry.share.value() > 0 && isReachable && known.insert(entry.process.vm).second) {
             ranked.push_back({ { entry.process.vm, isLocal(entry.process.vm) }, entry.share.value() });
         }
@@ -415,9 +419,13 @@
     }
 }
 
-bool CustomerLimiter::applyShare(const CustomerId &customer, Share share, TimePoint now)
+bool CustomerLimiter::applyShare(const CustomerId &customer, const VmIncarnation &holder, Share share, TimePoint now)
 {
     const Lock lock(m_mutex);
+    if (holder != m_self) {
+        // The share belongs to the incarnation before.
+        return false;
+    }
     CustomerAccount *account = findAccount(customer, now);
     if (account == nullptr) {
         return true;
@@ -450,7 +458,7 @@
 {
     const Lock lock(m_mutex);
     CustomerAccount *account = findAccount(customer, now);
-    return account == nullptr ? 0 : account->ownDemand.perSecond(now) + account->regionalDemand.perSecond(now);
+    return account == nullptr ? 0 : account->regionalDemand.perSecond(now);
 }
 
 std::vector<HomeCandidate> CustomerLimiter::homes(const CustomerId &customer, TimePoint now) const
--- a/Libraries/LibLimit/CustomerLimiter.h
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -58,8 +58,9 @@
     /// Starts again with empty buckets under a new incarnation, after the own one was retired.
     void changeIncarnation(Incarnation incarnation, TimePoint now);
 
-    /// For AllotmentKeeper: sets the own share. Returns whether the loans still out fit into it.
-    bool applyShare(const CustomerId &customer, Share share, TimePoint now);
+    /// For AllotmentKeeper: sets the share of an incarnation, which has no effect once the own one has changed.
+    /// Returns whether the loans still out fit into the share.
+    bool applyShare(const CustomerId &customer, const VmIncarnation &holder, Share share, TimePoint now);
     Share share(const CustomerId &customer) const;
     /// For AllotmentKeeper: tells which VMs hold shares.
     void noteAllotment(const CustomerId &customer, const Allotment &allotment, TimePoint now);
@@ -104,8 +105,9 @@
     TimePoint m_startsAt; ///< No bucket fills earlier.
     mutable std::map<CustomerId, CustomerAccount> m_accounts;
     mutable std::vector<HomeCandidate> m_candidates;
+    mutable int m_regionCount { 0 }; ///< Of the candidates.
     mutable std::map<VmId, RegionId> m_regions;
-    mutable std::set<VmId> m_suspects;
+    mutable std::set<VmId> m_unableToLend; ///< Suspect or not fresh.
     mutable std::uint64_t m_candidateGeneration { 0 };
     mutable std::size_t m_listedVms { 0 };
 };
--- a/Libraries/LibLimit/DemandMeter.h
+++ b/Libraries/LibLimit/DemandMeter.h
@@ -11,6 +11,11 @@
 class DemandMeter
 {
 public:
+    /// A short memory follows a move of callers at once, a long one averages bursts.
+    explicit DemandMeter(Microseconds memory) : m_memorySeconds(std::chrono::duration<double>(memory).count())
+    {
+    }
+
     void add(double amount, TimePoint now)
     {
         decay(now);
@@ -19,21 +24,19 @@
     double perSecond(TimePoint now)
     {
         decay(now);
-        return m_sum / memorySeconds;
+        return m_sum / m_memorySeconds;
     }
 
 private:
-    // Short enough to follow a move of callers within seconds, long enough to average a burst.
-    static constexpr double memorySeconds = 5;
-
     void decay(TimePoint now)
     {
         if (now > m_at) {
-            m_sum *= std::exp(-std::chrono::duration<double>(now - m_at).count() / memorySeconds);
+            m_sum *= std::exp(-std::chrono::duration<double>(now - m_at).count() / m_memorySeconds);
             m_at = now;
         }
     }
 
+    double m_memorySeconds;
     double m_sum { 0 };
     TimePoint m_at {};
 };
--- a/Libraries/LibSteering/AllotmentPolicy.cpp
+++ b/Libraries/LibSteering/AllotmentPolicy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace Sapphire {
 
@@ -9,12 +10,20 @@
 
 // Part of the divided whole that is spread evenly, so that a region that was idle has tokens for its first requests.
 constexpr double evenPart = 0.1;
+// When not every home can hold a share, a holder keeps its own until another home has this many times its demand.
+constexpr double holderPreference = 2;
 
 struct Wish
 {
     VmId vm;
     double demand { 0 };
+    Share share {};
     std::size_t order { 0 };
+
+    double rank() const
+    {
+        return share.value() > 0 ? demand * holderPreference : demand;
+    }
 };
 
 std::vector<Wish> wishesOf(const Allotment &current, const AllotmentView &view)
@@ -22,10 +31,15 @@
     std::vector<Wish> wishes;
     for (std::size_t i = 0; i < view.homes.size(); ++i) {
         const AllotmentEntry *entry = current.find(view.homes[i].vm);
-        wishes.push_back({ view.homes[i].vm, entry != nullptr ? entry->demand : 0, i });
+        if (entry != nullptr) {
+            wishes.push_back({ view.homes[i].vm, entry->demand, entry->share, i });
+        } else {
+            wishes.push_back({ view.homes[i].vm, 0, Share(0), i });
+        }
     }
     std::stable_sort(wishes.begin(), wishes.end(), [](const Wish &left, const Wish &right) {
-        return left.demand != right.demand ? left.demand > right.demand : left.order < right.order;
+        return std::make_tuple(right.rank(), right.share, left.order)
+            < std::make_tuple(left.rank(), left.share, right.order);
     });
     return wishes;
 }
@@ -39,6 +53,15 @@
         > 0;
 }
 
+double totalDemand(const Allotment &allotment)
+{
+    double sum = 0;
+    for (const AllotmentEntry &entry : allotment.entries) {
+        sum += entry.demand;
+    }
+    return sum;
+}
+
 bool isDemandOff(const AllotmentEntry &entry, const AllotmentView &view, const AllotmentSettings &settings)
 {
     const double difference = std::abs(view.ownDemand - entry.demand);
@@ -55,9 +78,11 @@
     const std::map<VmId, Share> wantedShares = AllotmentPolicy::wantedShares(decision.next, view, settings);
     const Share wanted = wantedShares.at(view.self.vm);
     const auto limit = static_cast<double>(wanted.value()) * (1 + settings.lowerBand);
+    // Without requests there is nothing to follow, and moving shares would only drop tokens.
+    const bool isIdle = totalDemand(decision.next) < settings.demandFloor * view.ratePerSecond;
     const bool isWorthless = own.share.value() > 0 && own.share < AllotmentPolicy::leastShare(view.burst);
     if (wanted < own.share
-        && (isWorthless || (view.isIntervalOver && static_cast<double>(own.share.value()) > limit))) {
+        && (isWorthless || (view.isIntervalOver && !isIdle && static_cast<double>(own.share.value()) > limit))) {
         const auto step = static_cast<std::int64_t>(static_cast<double>(own.share.value()) * settings.lowerStep);
         const Share stepped = std::max(wanted, own.share - Share(step));
         own.share = stepped < AllotmentPolicy::leastShare(view.burst) ? wanted : stepped;
--- a/Libraries/LibSteering/Loan.h
+++ b/Libraries/LibSteering/Loan.h
@@ -37,7 +37,9 @@
 public:
     virtual ~LoanClient() = default;
 
-    /// Blocks until the deadline at most. Fails with Unavailable or Timeout; tokens of a lost answer are lost.
+    /// Blocks until the deadline at most. The loan's deadline on this VM's clock counts from the moment at which the
+    /// call was sent, so that it is never later than the lender's. Fails with Unavailable or Timeout; tokens of a lost
+    /// answer are lost.
     [[nodiscard]] virtual Result<Loan> borrow(const VmId &lender, const CustomerId &customer, Tokens wanted,
                                               Deadline deadline) = 0;
 };
