--- /dev/null
+++ b/Tests/LibSteering/TestHomeSet.cpp
@@ -0,0 +1,63 @@
+#include <LibSteering/HomeSet.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace Sapphire;
+
+namespace {
+
+std::vector<HomeCandidate> fleet(int vms)
+{
+    std::vector<HomeCandidate> candidates;
+    for (int i = 0; i < vms; ++i) {
+        candidates.push_back({ VmId("vm-" + std::to_string(i)), RegionId("region-" + std::to_string(i % 3)) });
+    }
+    return candidates;
+}
+
+} // namespace
+
+TEST_CASE("a smaller home set is part of a larger one")
+{
+    // Guards against VMs that disagree about the size and ask VMs without a share for loans.
+    const auto small = HomeSet::choose(CustomerId("c"), fleet(30), 1);
+    const auto large = HomeSet::choose(CustomerId("c"), fleet(30), 3);
+    CHECK(small.size() == 3);
+    CHECK(large.size() == 9);
+    for (const HomeCandidate &home : small) {
+        CHECK(std::find(large.begin(), large.end(), home) != large.end());
+    }
+}
+
+TEST_CASE("the loss of a VM moves only its own homes")
+{
+    // Guards against shares that wander through the fleet whenever a VM comes or goes.
+    const std::vector<HomeCandidate> all = fleet(30);
+    for (int customer = 0; customer < 50; ++customer) {
+        const CustomerId id("customer-" + std::to_string(customer));
+        const auto before = HomeSet::choose(id, all, 2);
+        std::vector<HomeCandidate> rest = all;
+        std::erase(rest, before.front());
+        const auto after = HomeSet::choose(id, rest, 2);
+        const auto kept = std::count_if(before.begin(), before.end(), [&after](const HomeCandidate &home) {
+            return std::find(after.begin(), after.end(), home) != after.end();
+        });
+        CHECK(kept == 5);
+    }
+}
+
+TEST_CASE("the size follows the load with a hysteresis band")
+{
+    // Guards against a size that changes back and forth at a threshold.
+    const HomeSetSettings settings { .requestsPerSecondPerHome = 100 };
+    CHECK(HomeSet::nextSize(1, 99, 1000, 3, settings) == 1);
+    CHECK(HomeSet::nextSize(1, 101, 1000, 3, settings) == 2);
+    CHECK(HomeSet::nextSize(2, 90, 1000, 3, settings) == 2);
+    CHECK(HomeSet::nextSize(2, 59, 1000, 3, settings) == 1);
+    CHECK(HomeSet::nextSize(4, 10'000, 1000, 3, settings) == 4);
+    // A small burst can't be divided among many homes.
+    CHECK(HomeSet::nextSize(1, 10'000, 6, 3, settings) == 2);
+    CHECK(HomeSet::nextSize(1, 10'000, 1, 3, settings) == 1);
+}
