--- a/Libraries/LibPlatform/PlatformChannel.h
+++ b/Libraries/LibPlatform/PlatformChannel.h
@@ -43,7 +43,7 @@
 
     const PlatformClientSettings m_settings;
     const Poco::Net::SocketAddress m_address;
-    const BootClock m_clock;
+    BootClock m_clock;
     CircuitBreaker m_breaker;
     std::mutex m_mutex;
     std::vector<ConnectionPointer> m_idle; ///< The one used last is at the end.
--- a/Tests/LibPlatform/PlatformFixture.h
+++ b/Tests/LibPlatform/PlatformFixture.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 namespace Sapphire {
@@ -20,7 +21,9 @@
 {
     auto outcome = capture(std::forward<Operation>(operation));
     REQUIRE_MESSAGE(outcome, outcome.error().message);
-    return std::move(outcome.value());
+    if constexpr (!std::is_same_v<decltype(outcome), Outcome<void>>) {
+        return std::move(outcome.value());
+    }
 }
 
 inline Deadline in(Milliseconds interval)
--- a/Tests/LibPlatform/TestHttpTableService.cpp
+++ b/Tests/LibPlatform/TestHttpTableService.cpp
@@ -2,6 +2,8 @@
 
 #include "PlatformFixture.h"
 
+#include <StandIns/FaultProxy/FaultProxyServer.h>
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -40,6 +42,12 @@
     std::unique_ptr<HttpTableService> service;
 };
 
+std::string addressOfFreePort()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
+    return socket.address().toString();
+}
+
 /// A server of one connection at a time that sends a fixed text for each request, byte by byte if there is a pause.
 class RawServer
 {
@@ -222,6 +230,46 @@
     CHECK(server->acceptedConnections() == 2);
 }
 
+TEST_CASE_FIXTURE(TableFixture, "HttpTableService leaves pooled connections that went silent after one timeout")
+{
+    // Guards against calls that time out one after the other, each on another silent connection of the pool.
+    const auto proxy = expect([] {
+        return FaultProxyServer::create("127.0.0.1:0", 1);
+    });
+    const std::string link = addressOfFreePort();
+    expect([&] {
+        return proxy->engine().addLinks({ { "platform", link, server->address() } });
+    });
+    PlatformClientSettings settings;
+    settings.address = link;
+    service = expect([&] {
+        return HttpTableService::create(settings);
+    });
+    server->parts().faults.setLatency(Milliseconds(30));
+    std::vector<std::thread> threads(4);
+    for (std::thread &thread : threads) {
+        thread = std::thread([&] {
+            static_cast<void>(read("none"));
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    server->parts().faults.setLatency(Milliseconds(0));
+    CHECK(server->acceptedConnections() == 4);
+    FaultCommand silence;
+    silence.name = "platform";
+    silence.silenceExisting = { true, true };
+    expect([&] {
+        return proxy->engine().apply(silence);
+    });
+    const Outcome<RowTag> write = insert("key", "value", Milliseconds(50));
+    CHECK(write.error().code == ErrorCode::Timeout);
+    CHECK(write.error().verdict == Verdict::MayHaveRun);
+    CHECK(insert("key", "value"));
+    CHECK(read("key").value().value == "value");
+}
+
 TEST_CASE_FIXTURE(TableFixture, "HttpTableService serves threads at the same time")
 {
     // Guards against answers that reach another thread's request.
