--- a/Libraries/LibCaller/HttpAnswerSink.cpp
+++ b/Libraries/LibCaller/HttpAnswerSink.cpp
@@ -27,9 +27,12 @@
     for (const HeaderField &field : head.headers) {
         m_response.add(field.name, field.value);
     }
-    const VmId &vm = head.vm.isEmpty() ? m_ownVm : head.vm;
-    const std::string place = head.place.region.text() + "/" + head.place.availabilityZone.text();
-    m_response.set("Sapphire-Served-By", place + "/" + vm.text() + "/" + head.target.text());
+    if (!head.place.region.isEmpty()) {
+        // An answer that is sent again doesn't carry where it ran.
+        const VmId &vm = head.vm.isEmpty() ? m_ownVm : head.vm;
+        const std::string place = head.place.region.text() + "/" + head.place.availabilityZone.text();
+        m_response.set("Sapphire-Served-By", place + "/" + vm.text() + "/" + head.target.text());
+    }
     m_response.set("Sapphire-Entry-Vm", m_ownVm.text());
     m_response.set("Sapphire-Verdict", std::string(nameOf(Verdict::Ran)));
     if (head.bodyBytes) {
--- a/Libraries/LibOperator/StatementRunner.cpp
+++ b/Libraries/LibOperator/StatementRunner.cpp
@@ -3,12 +3,16 @@
 #include <LibOperator/ConfigurationTables.h>
 #include <LibOperator/StatementParser.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace Sapphire {
 
 namespace {
 
+// A sender that doesn't wait for a change to be in force still learns whether it was recorded.
+constexpr Milliseconds leastRecordTime { 5'000 };
+
 OperatorAnswer notFound(const std::string &what)
 {
     return { OperatorOutcome::Rejected, "there is no " + what };
@@ -167,7 +171,7 @@
 {
     const Command command { context.commandId, context.operatorId, statement.seen, m_clock.wallTime(), statement.body };
     const Outcome<Receipt> submitted = capture([&] {
-        return m_keeper.submit(command, context.deadline);
+        return m_keeper.submit(command, std::max(context.deadline, Deadline::after(m_clock.now(), leastRecordTime)));
     });
     if (!submitted) {
         return OperatorAnswer::fromError(submitted.error());
