LibCaller: Don't say not-run of an id whose caller is unknown

Cause: the integration tests found 6 (VMs killed) and 1 (VMs frozen) request ids that had run and whose resend was then refused as not run: a VM that isn't fresh refuses before it looks at the id. Ruled out: the claims (no id ran twice) and the refusals behind the key check, which look the id up. Conclusion: a refusal before the key is established can only say may-have-run of a request with an id.

--- a/Libraries/LibCaller/CallerEndpoint.cpp
+++ b/Libraries/LibCaller/CallerEndpoint.cpp
@@ -260,6 +260,11 @@
 {
     std::variant<RequestHead, Refusal> head = readHead(call, rest);
     if (auto *refusal = std::get_if<Refusal>(&head)) {
+        if (call.request.has("Idempotency-Key")) {
+            // An earlier attempt with this id may have run; whose id it is has not been established.
+            refusal->verdict = Verdict::MayHaveRun;
+            refusal->detail += "; this attempt has not run";
+        }
         refuse(call, std::move(*refusal), {});
         return;
     }
