--- a/Libraries/LibConfiguration/ConfigurationCodec.cpp
+++ b/Libraries/LibConfiguration/ConfigurationCodec.cpp
@@ -1,7 +1,9 @@
 #include <LibConfiguration/ConfigurationCodec.h>
 
+#include <LibConfiguration/ApplyCommand.h>
 #include <LibConfiguration/RecordJson.h>
 
+#include <algorithm>
 #include <sstream>
 
 namespace Sapphire {
@@ -13,6 +15,8 @@
 
 /// Raised when the format changes in a way that older programs can't read.
 constexpr std::int64_t formatNumber = 1;
+constexpr std::size_t prefixesPerText = 1000;
+constexpr std::size_t longestFaultText = 100;
 
 void addMark(Object &object, const ChangeMark &mark)
 {
@@ -90,13 +94,30 @@
     return array;
 }
 
-/// One text per client block: an object for each of 160,000 would take several times the memory.
+/// Texts "REGION VERSION OPERATOR PREFIX...": an object or text for each of 160,000 client blocks would take several
+/// times the memory.
 Array::Ptr clientBlocksOf(const Configuration &configuration)
 {
+    struct Group
+    {
+        std::string text;
+        std::size_t count { 0 };
+    };
     Array::Ptr array = new Array;
+    std::map<std::string, Group> groups;
     for (const auto &[prefix, block] : configuration.clientBlocks) {
-        array->add(prefix + ' ' + block.region.text() + ' ' + std::to_string(block.mark.version.value()) + ' '
-                   + block.mark.changedBy.text());
+        const std::string head =
+            block.region.text() + ' ' + std::to_string(block.mark.version.value()) + ' ' + block.mark.changedBy.text();
+        Group &group = groups[head];
+        group.text += ' ' + prefix;
+        ++group.count;
+        if (group.count == prefixesPerText) {
+            array->add(head + group.text);
+            groups.erase(head);
+        }
+    }
+    for (const auto &[head, group] : groups) {
+        array->add(head + group.text);
     }
     return array;
 }
@@ -110,12 +131,13 @@
     return array;
 }
 
-std::vector<std::string> wordsOf(const std::string &text)
+std::vector<std::string_view> wordsOf(std::string_view text)
 {
-    std::istringstream stream(text);
-    std::vector<std::string> words;
-    for (std::string word; stream >> word;) {
-        words.push_back(word);
+    std::vector<std::string_view> words;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(' '), text.size());
+        words.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
     }
     return words;
 }
@@ -212,14 +234,22 @@
 {
     std::vector<std::pair<std::string, ClientBlockRecord>> blocks;
     for (const std::string &text : textsFrom(reader, "clientBlocks")) {
-        const std::vector<std::string> words = wordsOf(text);
-        const auto version = words.size() == 4 ? RecordJson::digitsFrom(words[2]) : std::nullopt;
+        const std::vector<std::string_view> words = wordsOf(text);
+        const auto version = words.size() > 3 ? RecordJson::digitsFrom(words[1]) : std::nullopt;
         if (!version) {
-            reader.reject("clientBlocks", text, "PREFIX REGION VERSION OPERATOR");
+            reader.reject("clientBlocks", text.substr(0, longestFaultText), "REGION VERSION OPERATOR PREFIX...");
             continue;
         }
-        const ChangeMark mark { ConfigurationVersion(*version), OperatorId(words[3]) };
-        blocks.emplace_back(words[0], ClientBlockRecord { words[0], RegionId(words[1]), mark });
+        ClientBlockRecord block;
+        block.region = RegionId(std::string(words[0]));
+        block.mark = { ConfigurationVersion(*version), OperatorId(std::string(words[2])) };
+        for (std::size_t i = 3; i < words.size(); ++i) {
+            block.prefix = std::string(words[i]);
+            if (!isAddressPrefix(block.prefix)) {
+                reader.reject("clientBlocks", block.prefix, "an IPv4 prefix");
+            }
+            blocks.emplace_back(block.prefix, block);
+        }
     }
     configuration.clientBlocks = SharedMap<std::string, ClientBlockRecord>(std::move(blocks));
 }
@@ -228,13 +258,13 @@
 {
     std::vector<std::pair<ConfigurationVersion, CommandId>> commands;
     for (const std::string &text : textsFrom(reader, "recentCommands")) {
-        const std::vector<std::string> words = wordsOf(text);
+        const std::vector<std::string_view> words = wordsOf(text);
         const auto version = words.size() == 2 ? RecordJson::digitsFrom(words[0]) : std::nullopt;
         if (!version) {
-            reader.reject("recentCommands", text, "VERSION COMMAND");
+            reader.reject("recentCommands", text.substr(0, longestFaultText), "VERSION COMMAND");
             continue;
         }
-        commands.emplace_back(ConfigurationVersion(*version), CommandId(words[1]));
+        commands.emplace_back(ConfigurationVersion(*version), CommandId(std::string(words[1])));
     }
     configuration.recentCommands = SharedMap<ConfigurationVersion, CommandId>(std::move(commands));
 }
--- a/Libraries/LibConfiguration/ConfigurationKeeper.cpp
+++ b/Libraries/LibConfiguration/ConfigurationKeeper.cpp
@@ -24,6 +24,8 @@
 /// The age of statements of a VM that has no state to speak of: older than any that count.
 constexpr Microseconds uncountedAge { 3'600'000'000 };
 constexpr Microseconds forcePollInterval { 50'000 };
+/// The roster of 730 VMs is not copied and compared more often than it changes.
+constexpr Microseconds observationInterval { 1'000'000 };
 
 } // namespace
 
@@ -79,7 +81,9 @@
 
 void ConfigurationKeeper::tick(TimePoint now)
 {
-    observeFleet(now);
+    if (isObservationDue(now)) {
+        observeFleet(now);
+    }
     if (!isPollDue(now) || !poll()) {
         return;
     }
@@ -445,6 +449,16 @@
     m_retirements.observe(vms, listed, now);
 }
 
+bool ConfigurationKeeper::isObservationDue(TimePoint now)
+{
+    const std::lock_guard guard(m_mutex);
+    if (m_lastObservation && now - *m_lastObservation < observationInterval) {
+        return false;
+    }
+    m_lastObservation = now;
+    return true;
+}
+
 bool ConfigurationKeeper::isPollDue(TimePoint now)
 {
     const std::lock_guard guard(m_mutex);
--- a/Libraries/LibConfiguration/ConfigurationKeeper.h
+++ b/Libraries/LibConfiguration/ConfigurationKeeper.h
@@ -120,6 +120,7 @@
     std::optional<ConfigurationVersion> withdrawnIn(const KeyId &key) const;
 
     void observeFleet(TimePoint now) const;
+    bool isObservationDue(TimePoint now);
     bool isPollDue(TimePoint now);
     bool poll();
     void writePendingWithdrawals(TimePoint now);
@@ -148,6 +149,7 @@
     mutable RetirementWatch m_retirements;
     mutable std::set<VmId> m_members;
     std::map<KeyId, PendingWithdrawal> m_pendingWithdrawals;
+    std::optional<TimePoint> m_lastObservation;
     std::optional<TimePoint> m_lastPoll;
     std::optional<ConfigurationVersion> m_snapshotDue;
     mutable bool m_isPollHinted { false };
--- a/Tests/LibConfiguration/ForceModel.h
+++ b/Tests/LibConfiguration/ForceModel.h
@@ -54,13 +54,15 @@
         std::uint64_t bits =
             (storeAge << 4U) | (confirmationAge << 2U) | (isClaimed ? 2U : 0U) | (hasRestarted ? 1U : 0U);
         for (std::size_t vm = 0; vm < vmCount; ++vm) {
-            bits = (bits << 2U) | (hasChange[vm] ? 2U : 0U) | (isEmpty[vm] ? 1U : 0U);
-            for (const unsigned held : age[vm]) {
-                bits = (bits << 2U) | held;
-            }
+            bits = (bits << 8U) | packedVm(vm);
         }
         return bits;
     }
+    std::uint64_t packedVm(std::size_t vm) const
+    {
+        return (hasChange[vm] ? 128U : 0U) | (isEmpty[vm] ? 64U : 0U) | (age[vm][0] << 4U) | (age[vm][1] << 2U)
+            | age[vm][2];
+    }
     void swapWithinRegion(std::size_t region)
     {
         std::swap(hasChange[region * 2], hasChange[region * 2 + 1]);
@@ -227,8 +229,10 @@
     /// The VM takes the peer's own statement and those that the peer holds, but no entries.
     void pull(State state, std::size_t vm, std::size_t peer, std::vector<State> &next)
     {
-        take(state, vm, peer);
-        add(state, next);
+        if (vm != peer) {
+            take(state, vm, peer);
+            add(state, next);
+        }
     }
 
     void pullAll(State &state) const
@@ -238,8 +242,8 @@
             before = state.packed();
             for (std::size_t pair = 0; pair < State::vmCount * State::vmCount; ++pair) {
                 take(state, pair / State::vmCount, pair % State::vmCount);
-                start(state);
             }
+            start(state);
         } while (state.packed() != before);
     }
 
@@ -299,10 +303,8 @@
             if (m_isCut[region * 2] != m_isCut[region * 2 + 1]) {
                 continue;
             }
-            State swapped = state;
-            swapped.swapWithinRegion(region);
-            if (swapped.packed() < state.packed()) {
-                state = swapped;
+            if (state.packedVm(region * 2) > state.packedVm(region * 2 + 1)) {
+                state.swapWithinRegion(region);
             }
         }
     }
--- a/Tests/LibConfiguration/TestConfigurationSize.cpp
+++ b/Tests/LibConfiguration/TestConfigurationSize.cpp
@@ -11,7 +11,12 @@
 
 namespace {
 
+// The times mean nothing under sanitizers, where the full size takes 20 s.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr int blockCount = 2'000;
+#else
 constexpr int blockCount = 160'000;
+#endif
 constexpr int targetCount = 220;
 
 /// The configuration of the size that is expected in two years.
@@ -52,7 +57,7 @@
     std::vector<Microseconds> ofTargets;
     for (int i = 0; i < 100; ++i) {
         const std::string id = std::to_string(i);
-        const std::string prefix = "12.0." + id + ".0/24";
+        const std::string prefix = "11.0." + id + ".0/24";
         const Command block = Commands::make("b" + id, SetClientBlock { prefix, RegionId("pampa") });
         const Command drain = Commands::make("t" + id, DrainTarget { TargetId("target-" + id) });
         ofBlocks.push_back(durationOf([&] {
--- a/Tests/LibConfiguration/TestForceModel.cpp
+++ b/Tests/LibConfiguration/TestForceModel.cpp
@@ -106,14 +106,17 @@
         for (std::size_t vm = 0; vm < cut.size(); ++vm) {
             cut[vm] = ((mask >> vm) & 1U) != 0;
         }
+        // The VMs of a region are alike, but for the writer, and so are the two regions without it.
+        if ((cut[2] && !cut[3]) || (cut[4] && !cut[5]) || cut[2] + cut[3] > cut[4] + cut[5]) {
+            continue;
+        }
         CAPTURE(mask);
         ForceModel eager(cut, DroppedRule::None, Exchange::Eager, true);
         REQUIRE_FALSE(eager.findViolation(unlimitedDepth));
-        ForceModel stepByStep(cut, DroppedRule::None, Exchange::StepByStep, true);
-        REQUIRE_FALSE(stepByStep.findViolation(3));
-        count += eager.states().size() + stepByStep.states().size();
+        count += eager.states().size();
     }
     MESSAGE("states over all cuts: ", count);
+    // With the store cut off from all VMs, any of them may restart, so this includes what the other cuts allow.
     ForceModel deeper({ true, true, true, true, true, true }, DroppedRule::None, Exchange::StepByStep, true);
     REQUIRE_FALSE(deeper.findViolation(5));
     MESSAGE("states of the total cut step by step: ", deeper.states().size());
