LibConfiguration: Shorten the comparison of library and model

The comparison took 0.7 s under AddressSanitizer, mostly to enumerate states of which it took every 37th. It now takes every 7th state of one step less, beside all states of the eager exchange as before.

--- a/Tests/LibConfiguration/TestForceModel.cpp
+++ b/Tests/LibConfiguration/TestForceModel.cpp
@@ -155,10 +155,10 @@
     ForceModel eager({}, DroppedRule::None, Exchange::Eager, false);
     REQUIRE_FALSE(eager.findViolation(unlimitedDepth));
     ForceModel model({}, DroppedRule::None, Exchange::StepByStep, false);
-    REQUIRE_FALSE(model.findViolation(5));
+    REQUIRE_FALSE(model.findViolation(4));
     // Many states of the second kind differ only in who pulled first, so a sample of them is enough.
     std::vector<ForceModelState> states = eager.states();
-    for (std::size_t i = 0; i < model.states().size(); i += 37) {
+    for (std::size_t i = 0; i < model.states().size(); i += 7) {
         states.push_back(model.states()[i]);
     }
     std::size_t freshCount = 0;
