Tests: End the platform stand-in's connections without POCO's stop event

Cause: under ThreadSanitizer the stand-in's exit was reported as a race in POCO's delegates in one run out of a few. The packaged POCO is not instrumented, so the counts that order the two threads are not seen.

Ruled out: a suppression, which would also hide races of this project below POCO's frames.

Before: HTTPServer::stopAll(). After: the stand-in lists its open connections and shuts them down itself.

--- a/Tests/Harness/TestFaultProxy.cpp
+++ b/Tests/Harness/TestFaultProxy.cpp
@@ -60,5 +60,9 @@
     });
     CHECK_FALSE(unknown);
     proxy->process().terminate();
-    CHECK(proxy->process().wait(after(std::chrono::seconds(5))) == ExitStatus { 0, 0 });
+    const auto exit = proxy->process().wait(after(std::chrono::seconds(5)));
+    CAPTURE(proxy->process().errorOutput());
+    REQUIRE(exit.has_value());
+    CHECK(exit->code == 0);
+    CHECK(exit->signal == 0);
 }
--- a/Tests/Harness/TestPlatformStandIn.cpp
+++ b/Tests/Harness/TestPlatformStandIn.cpp
@@ -75,5 +75,9 @@
     CHECK(counters.mostWritesPerSecond >= 1);
     CHECK(counters.readCeiling == 2000);
     platform->process().terminate();
-    CHECK(platform->process().wait(after(std::chrono::seconds(5))) == ExitStatus { 0, 0 });
+    const auto status = platform->process().wait(after(std::chrono::seconds(5)));
+    CAPTURE(platform->process().errorOutput());
+    REQUIRE(status.has_value());
+    CHECK(status->code == 0);
+    CHECK(status->signal == 0);
 }
--- a/Tests/StandIns/Platform/PlatformServer.cpp
+++ b/Tests/StandIns/Platform/PlatformServer.cpp
@@ -1,11 +1,13 @@
 #include <StandIns/Platform/PlatformServer.h>
 
+#include <StandIns/Platform/OpenConnections.h>
 #include <StandIns/Platform/PlatformHandler.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
 #include <chrono>
@@ -49,13 +51,16 @@
 
 struct PlatformServer::Http
 {
-    Http(PlatformServerParts &parts, const Poco::Net::ServerSocket &socket, int threads)
-        : pool(idleThreads, threads), server(new HandlerFactory(parts), pool, socket, parameters(threads))
+    Http(PlatformServerParts &parts, const Poco::Net::ServerSocket &socket,
+         const Poco::Net::HTTPServerParams::Ptr &settings)
+        : pool(idleThreads, settings->getMaxThreads())
+        , server(new ListedConnectionFactory(connections, settings, new HandlerFactory(parts)), pool, socket, settings)
     {
     }
 
+    OpenConnections connections;
     Poco::ThreadPool pool;
-    Poco::Net::HTTPServer server;
+    Poco::Net::TCPServer server;
 };
 
 PlatformServer::PlatformServer() = default;
@@ -71,7 +76,7 @@
         // Without reuse of the port, which POCO's shorter function turns on, and which lets two processes listen on it.
         socket.bind(address, true, false);
         socket.listen(acceptBacklog);
-        server->m_http = std::make_unique<Http>(server->m_parts, socket, settings.threads);
+        server->m_http = std::make_unique<Http>(server->m_parts, socket, parameters(settings.threads));
         server->m_http->server.start();
     } catch (const Poco::Exception &exception) {
         return fail(ErrorCode::InvalidArgument,
@@ -86,7 +91,8 @@
         return;
     }
     m_parts.faults.stop();
-    m_http->server.stopAll(true);
+    m_http->server.stop();
+    m_http->connections.stop();
     while (m_http->server.currentThreads() > 0) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
