LibFleet: Test server and client over the loopback address

The distances on large rings are 1, 8 and 11 now. A test showed that distances growing with the cube root of the ring's size take four exchanges for 37 VMs; trying all pairs gave these, which take three for up to 49 VMs.

--- a/Libraries/LibFleet/ExchangeBuilder.cpp
+++ b/Libraries/LibFleet/ExchangeBuilder.cpp
@@ -24,8 +24,6 @@
 constexpr Milliseconds askAgainAfter { 2'000 };
 /// A moment within this of the peer's own is not worth sending.
 constexpr Milliseconds heartbeatLead { 100 };
-/// Summaries of this VM's own region are passed on to another region at most this often.
-constexpr Milliseconds regionRefresh { 500 };
 
 /// Larger than any load step and health.
 constexpr std::uint64_t contentFactor = 64;
@@ -337,7 +335,7 @@
         if (relation.isOwnRegion) {
             writeSummary(update, record, summary, contentKey, m_settings.summaryRefresh, wanted, now);
         } else if (summary.place.region == region) {
-            writeSummary(update, record, summary, contentKey, regionRefresh, wanted, now);
+            writeSummary(update, record, summary, contentKey, m_settings.regionRefresh, wanted, now);
         }
     });
 }
--- a/Libraries/LibFleet/ExchangeBuilder.h
+++ b/Libraries/LibFleet/ExchangeBuilder.h
@@ -31,6 +31,8 @@
     std::size_t reportLimit { 6 };
     /// A relayed summary, room or report whose content did not change is sent again when it is newer by this.
     Milliseconds summaryRefresh { 1'900 };
+    /// Summaries of the own region are passed on to another region at most this often.
+    Milliseconds regionRefresh { 500 };
     Milliseconds roomRefresh { 2'000 };
     Milliseconds reportRefresh { 4'000 };
     /// Rooms of a third region are passed on only to VMs that have not heard of that region for this long.
--- a/Libraries/LibFleet/PeerSelection.cpp
+++ b/Libraries/LibFleet/PeerSelection.cpp
@@ -3,7 +3,7 @@
 #include <LibCore/Hash.h>
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 
 namespace Sapphire {
 
@@ -53,18 +53,17 @@
 {
 }
 
-std::vector<std::size_t> PeerSelection::ringSteps(std::size_t ringSize, std::size_t count)
+std::vector<std::size_t> PeerSelection::ringSteps(std::size_t ringSize)
 {
-    constexpr std::size_t smallRing = 16;
+    // Found by trying all pairs of distances beside 1: these serve the longest range of ring sizes.
+    constexpr std::size_t largestSmallRing = 16;
+    constexpr std::array<std::size_t, 3> smallRingSteps { 1, 2, 4 };
+    constexpr std::array<std::size_t, 3> largeRingSteps { 1, 8, 11 };
     std::vector<std::size_t> steps;
-    const double base = ringSize <= smallRing ? 2.0 : std::ceil(std::cbrt(static_cast<double>(ringSize)));
-    double step = 1;
-    for (std::size_t i = 0; i < count; ++i) {
-        const auto whole = static_cast<std::size_t>(step);
-        if (whole % std::max<std::size_t>(ringSize, 1) != 0) {
-            steps.push_back(whole % ringSize);
+    for (const std::size_t step : ringSize <= largestSmallRing ? smallRingSteps : largeRingSteps) {
+        if (ringSize > 1 && step % ringSize != 0) {
+            steps.push_back(step % ringSize);
         }
-        step *= base;
     }
     return steps;
 }
@@ -133,7 +132,7 @@
         return !candidate->isSuspect || candidate->vm == m_self;
     });
     const std::size_t position = positionIn(ring);
-    for (const std::size_t step : ringSteps(ring.size(), m_settings.ringPeers)) {
+    for (const std::size_t step : ringSteps(ring.size())) {
         addOnce(peers, *ring[(position + step) % ring.size()]);
     }
 }
--- a/Libraries/LibFleet/PeerSelection.h
+++ b/Libraries/LibFleet/PeerSelection.h
@@ -8,7 +8,6 @@
 
 struct PeerSelectionSettings
 {
-    std::size_t ringPeers { 3 }; ///< VMs of the own availability zone that are pulled from.
     /// Every so many rounds a suspect is pulled from in addition, so that a healed cut is found.
     std::uint64_t suspectRetryRounds { 5 };
 };
@@ -23,10 +22,10 @@
     /// Rings close over suspects. Where all VMs of a zone or region are suspect, they are tried in turn.
     std::vector<PeerCandidate> peers(const std::vector<PeerCandidate> &candidates, std::uint64_t round) const;
 
-    /// Returns the distances on a ring of the given size. They are 1, 2 and 4 on small rings. On larger ones they grow
-    /// with the cube root of the size, so that news cross the ring in three steps: with fixed distances 1, 2 and 4,
-    /// a ring of 37 VMs takes five exchanges, and a sign of life arrives older than the suspicion limit.
-    static std::vector<std::size_t> ringSteps(std::size_t ringSize, std::size_t count);
+    /// Returns the distances on a ring of the given size: 1, 2 and 4 on small rings, 1, 8 and 11 above. News then
+    /// cross a ring of up to 49 VMs in three exchanges. With 1, 2 and 4 a ring of 37 VMs takes five, and a sign of
+    /// life arrives older than the suspicion limit.
+    static std::vector<std::size_t> ringSteps(std::size_t ringSize);
 
 private:
     using Ring = std::vector<const PeerCandidate *>;
--- /dev/null
+++ b/Tests/LibFleet/TestPeerSelection.cpp
@@ -0,0 +1,129 @@
+#include <LibCore/RandomSource.h>
+#include <LibFleet/PeerSelection.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Sapphire;
+
+namespace {
+
+std::vector<PeerCandidate> fleet(std::size_t count, std::size_t regions, std::size_t zones)
+{
+    std::vector<PeerCandidate> candidates;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string region = std::to_string(i % regions);
+        const Place place { RegionId(region), AvailabilityZoneId(region + "-" + std::to_string(i / regions % zones)) };
+        candidates.push_back({ VmId("vm-" + std::to_string(i)), place, false });
+    }
+    return candidates;
+}
+
+/// Returns the longest distance from the first position on a ring whose edges are used in both directions.
+std::size_t exchangesAcross(std::size_t ringSize)
+{
+    std::vector<std::size_t> distance(ringSize, ringSize);
+    std::vector<std::size_t> reached { 0 };
+    distance[0] = 0;
+    for (std::size_t next = 0; next < reached.size(); ++next) {
+        for (const std::size_t step : PeerSelection::ringSteps(ringSize)) {
+            for (const std::size_t position :
+                 { (reached[next] + step) % ringSize, (reached[next] + ringSize - step) % ringSize }) {
+                if (distance[position] == ringSize) {
+                    distance[position] = distance[reached[next]] + 1;
+                    reached.push_back(position);
+                }
+            }
+        }
+    }
+    return reached.size() == ringSize ? distance[reached.back()] : ringSize;
+}
+
+} // namespace
+
+TEST_CASE("news cross the ring of a zone in three exchanges")
+{
+    // Guards against ring distances with which a sign of life arrives older than the suspicion limit.
+    for (std::size_t ringSize = 2; ringSize <= 49; ++ringSize) {
+        INFO("ring of " << ringSize);
+        CHECK(exchangesAcross(ringSize) <= 3);
+    }
+    CHECK(PeerSelection::ringSteps(7) == std::vector<std::size_t> { 1, 2, 4 });
+    CHECK(PeerSelection::ringSteps(1).empty());
+}
+
+TEST_CASE("the number of peers does not grow with the fleet and the load is even")
+{
+    // Guards against all-to-all exchange and against VMs that everybody pulls from.
+    const std::vector<PeerCandidate> candidates = fleet(730, 5, 4);
+    std::map<VmId, int> pulls;
+    for (const PeerCandidate &self : candidates) {
+        const auto peers = PeerSelection(self.vm, self.place).peers(candidates, 0);
+        CHECK(peers.size() == 10);
+        for (const PeerCandidate &peer : peers) {
+            CHECK(peer.vm != self.vm);
+            ++pulls[peer.vm];
+        }
+    }
+    for (const auto &[vm, count] : pulls) {
+        INFO(vm);
+        CHECK(count <= 14);
+    }
+}
+
+TEST_CASE("rings close over suspects but suspects are tried now and then")
+{
+    // Guards against rings that a dead VM interrupts, and against cuts that nobody finds healed.
+    const std::uint64_t seed = 7;
+    INFO("seed " << seed);
+    RandomSource random(seed);
+    std::vector<PeerCandidate> candidates = fleet(20, 3, 2);
+    for (PeerCandidate &candidate : candidates) {
+        candidate.isSuspect = candidate.vm != VmId("vm-0") && random.below(3) == 0;
+    }
+    const PeerSelection selection(VmId("vm-0"), candidates[0].place);
+    std::set<VmId> triedSuspects;
+    std::size_t suspectCount = 0;
+    for (const PeerCandidate &candidate : candidates) {
+        suspectCount += candidate.isSuspect ? 1U : 0U;
+    }
+    for (std::uint64_t round = 0; round < 200; ++round) {
+        std::size_t suspects = 0;
+        for (const PeerCandidate &peer : selection.peers(candidates, round)) {
+            suspects += peer.isSuspect ? 1U : 0U;
+            if (peer.isSuspect) {
+                triedSuspects.insert(peer.vm);
+            }
+        }
+        CHECK(suspects <= 1);
+    }
+    CHECK(triedSuspects.size() == suspectCount);
+}
+
+TEST_CASE("a region of which all VMs are suspect is still tried, each VM in turn")
+{
+    // Guards against a cut-off region that is given up.
+    std::vector<PeerCandidate> candidates = fleet(12, 3, 2);
+    std::set<VmId> tried;
+    for (PeerCandidate &candidate : candidates) {
+        candidate.isSuspect = candidate.place.region == RegionId("1");
+    }
+    const PeerSelection selection(VmId("vm-0"), candidates[0].place);
+    for (std::uint64_t round = 0; round < 4; ++round) {
+        for (const PeerCandidate &peer : selection.peers(candidates, round)) {
+            if (peer.place.region == RegionId("1")) {
+                tried.insert(peer.vm);
+            }
+        }
+    }
+    CHECK(tried.size() == 4);
+}
+
+TEST_CASE("a VM that knows nobody has no peers")
+{
+    // Guards against a division by the size of an empty ring at the first start of a fleet.
+    const PeerSelection selection(VmId("vm-0"), { RegionId("0"), AvailabilityZoneId("0-0") });
+    CHECK(selection.peers({}, 0).empty());
+    CHECK(selection.peers({ { VmId("vm-0"), { RegionId("0"), AvailabilityZoneId("0-0") }, true } }, 0).empty());
+}
--- /dev/null
+++ b/Tests/LibFleet/TestWithdrawalSpreader.cpp
@@ -0,0 +1,34 @@
+#include "FleetNode.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphire;
+
+TEST_CASE("a withdrawal is passed on at first receipt and counted where it was acknowledged")
+{
+    // Guards against a withdrawal that waits for the next round of the exchange, and against endless flooding.
+    FleetNodes fleet =
+        startNodes({ { "cuyo", "cuyo-a" }, { "cuyo", "cuyo-b" }, { "pampa", "pampa-a" }, { "pampa", "pampa-b" } });
+    const std::set<KeyId> keys { KeyId("key-1"), KeyId("key-2") };
+    fleet[0].configuration.takeWithdrawals(keys);
+    const std::size_t acknowledged =
+        fleet[0].gossip.spreadWithdrawals(keys, Deadline::after(fleet[0].clock.now(), Milliseconds(1'000)));
+    CHECK(acknowledged >= 2);
+    CHECK(waitUntil(
+        [&] {
+            return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto &node) {
+                return node->configuration.withdrawals() == keys;
+            });
+        },
+        Milliseconds(2'000)));
+}
+
+TEST_CASE("peers that are gone do not count as having acknowledged")
+{
+    // Guards against an operator who is told that a withdrawal is safe while only one VM has it.
+    FleetNodes fleet = startNodes({ { "cuyo", "cuyo-a" }, { "cuyo", "cuyo-a" }, { "pampa", "pampa-a" } });
+    fleet[1].server.reset();
+    const std::size_t acknowledged = fleet[0].gossip.spreadWithdrawals(
+        { KeyId("key-1") }, Deadline::after(fleet[0].clock.now(), Milliseconds(1'000)));
+    CHECK(acknowledged == 1);
+}
