LibPlatform: Count a timeout as the platform's failure only after a telling wait

Cause: three callers with a few milliseconds left each would open the breaker, and for a second all claims would be refused although the platform was well.

Before: every timeout counted. After: only those of calls that waited for 200 ms or more; other failures count as before. The stand-ins' servers also stop at once instead of after up to 250 ms.

--- a/Libraries/LibPlatform/PlatformChannel.cpp
+++ b/Libraries/LibPlatform/PlatformChannel.cpp
@@ -51,7 +51,7 @@
     Outcome<PlatformAnswer> outcome = capture([&] {
         return attempt(request, deadline);
     });
-    record(outcome);
+    record(outcome, now);
     if (!outcome) {
         return fail(outcome.error());
     }
@@ -129,7 +129,7 @@
     dropped.swap(m_idle);
 }
 
-void PlatformChannel::record(const Outcome<PlatformAnswer> &outcome)
+void PlatformChannel::record(const Outcome<PlatformAnswer> &outcome, TimePoint begin)
 {
     if (outcome) {
         if (m_breaker.recordSuccess()) {
@@ -137,7 +137,9 @@
         }
         return;
     }
-    if (m_breaker.recordFailure(m_clock.now())) {
+    const TimePoint now = m_clock.now();
+    const bool isTelling = outcome.error().code != ErrorCode::Timeout || now - begin >= m_settings.shortestTellingWait;
+    if (isTelling && m_breaker.recordFailure(now)) {
         logEvent(platformUnreachable, { { "address", m_address.toString() }, { "reason", outcome.error().message } });
     }
 }
--- a/Libraries/LibPlatform/PlatformChannel.h
+++ b/Libraries/LibPlatform/PlatformChannel.h
@@ -39,7 +39,7 @@
     ConnectionPointer takeIdle();
     void keep(ConnectionPointer connection);
     void dropIdle();
-    void record(const Outcome<PlatformAnswer> &outcome);
+    void record(const Outcome<PlatformAnswer> &outcome, TimePoint begin);
 
     const PlatformClientSettings m_settings;
     const Poco::Net::SocketAddress m_address;
--- a/Libraries/LibPlatform/PlatformClientSettings.h
+++ b/Libraries/LibPlatform/PlatformClientSettings.h
@@ -20,6 +20,9 @@
     Microseconds idleTime { std::chrono::seconds(10) };
     /// Bytes of the largest answer body that is read.
     std::size_t largestAnswer { std::size_t { 128 } * 1024 * 1024 };
+    /// A timeout after a shorter wait is not counted as the platform's failure. Otherwise a few callers that are near
+    /// their own deadlines would open the breaker for all. More than three round trips between regions (55 ms each).
+    Microseconds shortestTellingWait { Milliseconds(200) };
     CircuitBreakerSettings breaker {};
 };
 
--- a/Tests/LibPlatform/PlatformFixture.h
+++ b/Tests/LibPlatform/PlatformFixture.h
@@ -45,6 +45,7 @@
     {
         PlatformClientSettings result;
         result.address = server->address();
+        result.shortestTellingWait = Milliseconds(40);
         result.breaker.trialInterval = Milliseconds(100);
         return result;
     }
--- a/Tests/LibPlatform/TestHttpTableService.cpp
+++ b/Tests/LibPlatform/TestHttpTableService.cpp
@@ -202,6 +202,17 @@
     CHECK(insert("key2", "value"));
 }
 
+TEST_CASE_FIXTURE(TableFixture, "HttpTableService goes on after callers that had little time left")
+{
+    // Guards against a few late callers that open the breaker for all others.
+    REQUIRE(insert("key", "value"));
+    server->parts().faults.setLatency(Milliseconds(20));
+    for (int i = 0; i < 5; ++i) {
+        CHECK(read("key", Milliseconds(5)).error().code == ErrorCode::Timeout);
+    }
+    CHECK(read("key"));
+}
+
 TEST_CASE_FIXTURE(TableFixture, "HttpTableService repeats a read whose pooled connection was closed, but no write")
 {
     // Guards against reads that fail after each restart of the platform.
--- a/Tests/StandIns/FaultProxy/FaultProxyServer.cpp
+++ b/Tests/StandIns/FaultProxy/FaultProxyServer.cpp
@@ -150,6 +150,8 @@
     if (!m_http) {
         return;
     }
+    // Ends the wait for connections at once, which otherwise looks for the stop every 250 ms only.
+    m_http->server.socket().impl()->shutdown();
     m_http->server.stopAll(true);
     while (m_http->server.currentThreads() > 0) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
--- a/Tests/StandIns/Platform/PlatformServer.cpp
+++ b/Tests/StandIns/Platform/PlatformServer.cpp
@@ -91,6 +91,8 @@
         return;
     }
     m_parts.faults.stop();
+    // Ends the wait for connections at once, which otherwise looks for the stop every 250 ms only.
+    m_http->server.socket().impl()->shutdown();
     m_http->server.stop();
     m_http->connections.stop();
     while (m_http->server.currentThreads() > 0) {
