LibCaller: Don't dispatch for callers that are gone, and take ports exclusively

Cause: a VM that was paused found requests whose callers had given up and had been told "not run" by another attempt, and ran them. POCO binds with SO_REUSEPORT by default, so a port didn't prove that the earlier process was gone. Ruled out: a second run of an id (none in the ledger); clock errors of the test (target and test read the same clock). Conclusion: the caller's connection is looked at after the claim and before the dispatch.

--- a/Libraries/LibCaller/CallerServer.cpp
+++ b/Libraries/LibCaller/CallerServer.cpp
@@ -19,6 +19,7 @@
 
 // Bounds a single read or write; the connection guard bounds their sum.
 constexpr int socketTimeoutSeconds = 10;
+constexpr int backlog = 256;
 constexpr int mostRequestsPerConnection = 0; // No limit.
 
 class Handler final : public Poco::Net::HTTPRequestHandler
@@ -145,7 +146,10 @@
         parameters->setMaxKeepAliveRequests(mostRequestsPerConnection);
         parameters->setTimeout(Poco::Timespan(socketTimeoutSeconds, 0));
         parameters->setKeepAliveTimeout(Poco::Timespan(settings.headTimeout.count() * 1000));
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(settings.address, settings.port));
+        Poco::Net::ServerSocket socket;
+        // Without SO_REUSEPORT: taking the port must prove that no earlier process of this VM still serves.
+        socket.bind(Poco::Net::SocketAddress(settings.address, settings.port), true, false);
+        socket.listen(backlog);
         const Poco::Net::TCPServerConnectionFactory::Ptr factory(
             new ConnectionFactory(parameters, endpoint, guard, settings.headTimeout));
         auto threads = std::make_unique<Poco::ThreadPool>(2, settings.mostConnections + 1);
--- a/Libraries/LibCaller/EntryHandler.cpp
+++ b/Libraries/LibCaller/EntryHandler.cpp
@@ -70,6 +70,25 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> EntryHandler::refuseLate(const RequestHead &head, const AnswerSink &sink) const
+{
+    if (head.deadline.hasPassed(m_parts.clock.now())) {
+        return Refusal { RefusalReason::DeadlinePassed,
+                         Verdict::NotRun,
+                         "the deadline passed before the request was dispatched",
+                         {},
+                         {} };
+    }
+    if (sink.isCancelled()) {
+        // A VM that was paused finds requests whose callers gave up long ago and were told elsewhere that they have not
+        // run.
+        return Refusal {
+            RefusalReason::Cancelled, Verdict::NotRun, "the caller was gone before the request was dispatched", {}, {}
+        };
+    }
+    return std::nullopt;
+}
+
 std::optional<Refusal> EntryHandler::admit(const RequestHead &head)
 {
     if (head.customer.isEmpty()) {
@@ -170,13 +189,9 @@
     if (const auto *known = std::get_if<RequestLedger::Replay>(&beginning)) {
         return replay(known->answer, sink);
     }
-    if (head.deadline.hasPassed(m_parts.clock.now())) {
+    if (std::optional<Refusal> refusal = refuseLate(head, sink)) {
         m_parts.ledger.finish(key, Verdict::NotRun, {});
-        return refused({ RefusalReason::DeadlinePassed,
-                         Verdict::NotRun,
-                         "the deadline passed while the request id was claimed",
-                         {},
-                         {} });
+        return refused(std::move(*refusal));
     }
     RecordingSink recording(sink);
     ExchangeReport report = m_parts.router.route(head, body, recording, fingerprint);
--- a/Libraries/LibCaller/EntryHandler.h
+++ b/Libraries/LibCaller/EntryHandler.h
@@ -31,6 +31,8 @@
 
 private:
     std::optional<Refusal> refuseEarly(const RequestHead &head) const;
+    /// Refuses what should not be dispatched any more.
+    std::optional<Refusal> refuseLate(const RequestHead &head, const AnswerSink &sink) const;
     std::optional<Refusal> admit(const RequestHead &head);
     /// Makes the verdict of a refusal true for the request id, which an earlier attempt may have run.
     void correctVerdict(const RequestHead &head, Refusal &refusal);
--- a/Libraries/LibOperator/OperatorServer.cpp
+++ b/Libraries/LibOperator/OperatorServer.cpp
@@ -20,6 +20,7 @@
 
 constexpr int mostThreads = 8;
 constexpr int mostWaiting = 32;
+constexpr int backlog = 64;
 constexpr int socketTimeoutSeconds = 10;
 constexpr std::size_t mostBodyBytes = 65'536;
 constexpr Milliseconds longestWait { 60'000 };
@@ -141,7 +142,9 @@
         parameters->setMaxThreads(mostThreads);
         parameters->setMaxQueued(mostWaiting);
         parameters->setTimeout(Poco::Timespan(socketTimeoutSeconds, 0));
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(settings.address, settings.port));
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(settings.address, settings.port), true, false);
+        socket.listen(backlog);
         auto server = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(settings, parts), socket, parameters);
         server->start();
         return std::unique_ptr<OperatorServer>(new OperatorServer(std::move(server)));
--- a/Tests/LibCaller/TestEntryHandler.cpp
+++ b/Tests/LibCaller/TestEntryHandler.cpp
@@ -19,12 +19,15 @@
     CHECK(fixture.targets.runs == 1);
 }
 
-TEST_CASE("EntryHandler records the answer of a caller that went away")
+TEST_CASE("EntryHandler records the answer of a caller that went away meanwhile")
 {
     // Guards against a booking that ran and is then reported as "may have run", since its caller closed the connection.
     CallerFixture fixture;
     MemorySink gone;
-    gone.isGone = true;
+    fixture.targets.behaviour = [&gone](const RequestHead &, AnswerSink &sink) {
+        gone.isGone = true;
+        return FakeLocalTargets::answerWith(sink, "done");
+    };
     fixture.send(fixture.booking("order-1"), gone);
     MemorySink again;
     CHECK_FALSE(fixture.send(fixture.booking("order-1"), again).refusal);
@@ -32,6 +35,16 @@
     CHECK(fixture.targets.runs == 1);
 }
 
+TEST_CASE("EntryHandler does not dispatch for a caller that is gone")
+{
+    // Guards against a VM that was paused and runs requests afterwards whose callers were told elsewhere "not run".
+    CallerFixture fixture;
+    MemorySink gone;
+    gone.isGone = true;
+    CHECK(fixture.send(fixture.booking("order-1"), gone).verdict() == Verdict::NotRun);
+    CHECK(fixture.targets.runs == 0);
+}
+
 TEST_CASE("EntryHandler does not say not-run of an id that ran before")
 {
     // Guards against a refusal for another reason (here the VM is stopping) that is taken for the fate of the id.
--- a/Tests/LibFleet/FleetNode.h
+++ b/Tests/LibFleet/FleetNode.h
@@ -140,7 +140,7 @@
     FakeCrashSuspectExchange suspects;
     ExchangeBuilder exchange;
     FleetClient client;
-    WithdrawalSpreader withdrawals;
+    FleetWithdrawalSpreader withdrawals;
     FakeSnapshotExchange snapshots;
     FakeLender lender;
     FakeRequestHandler handler;
