--- a/Libraries/LibCore/StrongId.h
+++ b/Libraries/LibCore/StrongId.h
@@ -58,6 +58,7 @@
         return StrongNumber(m_value + 1);
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in StrongId.
     friend constexpr auto operator<=>(const StrongNumber &, const StrongNumber &) = default;
     friend constexpr StrongNumber operator+(StrongNumber left, StrongNumber right)
     {
--- a/Libraries/LibTarget/ReplayableBody.cpp
+++ b/Libraries/LibTarget/ReplayableBody.cpp
@@ -4,11 +4,17 @@
 
 namespace Sapphire {
 
-void ReplayableBody::prefetch(std::size_t bytes)
+namespace {
+
+constexpr std::size_t pieceBytes = 16384;
+
+}
+
+void ReplayableBody::prefetch(std::size_t leastBytes)
 {
-    const std::size_t wanted = std::min(bytes, mostKeptBytes);
-    while (m_kept.size() < wanted && !m_isAtEnd && !m_error) {
-        std::string piece(wanted - m_kept.size(), '\0');
+    const std::size_t wanted = std::min(leastBytes, mostKeptBytes - pieceBytes);
+    std::string piece(wanted > 0 ? pieceBytes : 0, '\0');
+    while (m_kept.size() < wanted && !m_isAtEnd) {
         const Outcome<std::size_t> outcome = capture([&] {
             return readSource(piece);
         });
--- a/Libraries/LibTarget/ReplayableBody.h
+++ b/Libraries/LibTarget/ReplayableBody.h
@@ -18,8 +18,9 @@
     {
     }
 
-    /// Reads up to so many bytes ahead; an error is returned by the read() that reaches it.
-    void prefetch(std::size_t bytes);
+    /// Reads ahead until at least so many bytes, or the end, are there; an error is returned by the read() that
+    /// reaches it. Single reads of the source take up to a piece of 16 KiB.
+    void prefetch(std::size_t leastBytes);
     Result<std::size_t> read(std::span<char> buffer) override;
     /// Whether rewind() is possible: nothing was read that is not kept.
     bool isReplayable() const
--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -18,7 +18,7 @@
 constexpr Milliseconds longestWaitSlice { 20 };
 constexpr Milliseconds reportLifetime { 10'000 };
 constexpr int firstServerError = 500;
-// A deadline that leaves less than this shows nothing of a target that did not answer in time.
+// Silence that is shorter shows nothing of a target: the caller may have given too little time.
 constexpr int silenceFactor = 3;
 constexpr Milliseconds leastSilence { 200 };
 constexpr Milliseconds leastSilenceIfUnknown { 1'000 };
@@ -224,7 +224,7 @@
                                          BodySource &body, AnswerSink &sink, const std::string &fingerprint)
 {
     const auto inFlight = choice.target->noteStart(fingerprint);
-    AttemptReport report = choice.target->exchange().run(head, body, sink);
+    AttemptReport report = runLimited(service, choice, head, body, sink);
     if (report.end == AttemptEnd::ConnectionLost || report.end == AttemptEnd::AnswerCut) {
         checkDeath(service, choice);
     }
@@ -241,12 +241,42 @@
     return report;
 }
 
+AttemptReport ServiceTargets::runLimited(Service &service, const Choice &choice, const RequestHead &head,
+                                         BodySource &body, AnswerSink &sink)
+{
+    if (!choice.attempt.isTrial || !head.isIdempotent) {
+        return choice.target->exchange().run(head, body, sink);
+    }
+    // A trial ends early, so that the request can still be run elsewhere if the target stays silent.
+    RequestHead limited = head;
+    {
+        const std::lock_guard guard(service.mutex);
+        const Microseconds enough = enoughSilence(service, choice.attempt.target);
+        limited.deadline = head.deadline.earlier(Deadline::after(m_clock.now(), enough));
+    }
+    AttemptReport report = choice.target->exchange().run(limited, body, sink);
+    if (report.end == AttemptEnd::Silent && !head.deadline.hasPassed(m_clock.now())) {
+        report.exchange.refusal->reason = RefusalReason::TargetFailed;
+    }
+    return report;
+}
+
+Microseconds ServiceTargets::enoughSilence(const Service &service, const TargetId &target)
+{
+    const TargetState *state = service.selector.state(target);
+    const Microseconds usual = state == nullptr ? Microseconds(0) : state->usualLatency();
+    if (usual == Microseconds(0)) {
+        return leastSilenceIfUnknown;
+    }
+    return std::max<Microseconds>(usual * silenceFactor, leastSilence);
+}
+
 void ServiceTargets::noteEnd(Service &service, const Choice &choice, const AttemptReport &report)
 {
     bool isEjected = false;
     {
         const std::lock_guard guard(service.mutex);
-        const AttemptOutcome outcome = outcomeOf(service, report, choice.attempt.target);
+        const AttemptOutcome outcome = outcomeOf(service, report, choice.attempt);
         isEjected = service.selector.end(choice.attempt, outcome, report.latency, m_clock.now(), service.random);
     }
     service.roomMayExist.notify_one();
@@ -257,7 +287,7 @@
 }
 
 AttemptOutcome ServiceTargets::outcomeOf(const Service &service, const AttemptReport &report,
-                                         const TargetId &target) const
+                                         const SelectedAttempt &attempt) const
 {
     switch (report.end) {
     case AttemptEnd::Answered:
@@ -269,13 +299,9 @@
     case AttemptEnd::AnswerCut:
         return AttemptOutcome::Failure;
     case AttemptEnd::Silent: {
-        const TargetState *state = service.selector.state(target);
-        const Microseconds usual = state == nullptr ? Microseconds(0) : state->usualLatency();
-        const Microseconds enough = usual == Microseconds(0)
-            ? Microseconds(leastSilenceIfUnknown)
-            : std::max<Microseconds>(usual * silenceFactor, leastSilence);
         // Old connections may be silent while new ones work, so that only a new one shows that the target is.
-        const bool isFault = !report.wasReused && m_clock.now() - report.sentAt >= enough;
+        const bool isLong = m_clock.now() - report.sentAt >= enoughSilence(service, attempt.target);
+        const bool isFault = attempt.isTrial || (!report.wasReused && isLong);
         return isFault ? AttemptOutcome::Failure : AttemptOutcome::Nothing;
     }
     case AttemptEnd::OwnLimit:
--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -103,8 +103,13 @@
                      Deadline waitLimit, const AnswerSink &sink);
     AttemptReport runAttempt(Service &service, const Choice &choice, const RequestHead &head, BodySource &body,
                              AnswerSink &sink, const std::string &fingerprint);
+    /// Gives a trial less time than the request has.
+    AttemptReport runLimited(Service &service, const Choice &choice, const RequestHead &head, BodySource &body,
+                             AnswerSink &sink);
     void noteEnd(Service &service, const Choice &choice, const AttemptReport &report);
-    AttemptOutcome outcomeOf(const Service &service, const AttemptReport &report, const TargetId &target) const;
+    AttemptOutcome outcomeOf(const Service &service, const AttemptReport &report, const SelectedAttempt &attempt) const;
+    /// Returns after how long without an answer a target counts as silent. The service's mutex must be held.
+    static Microseconds enoughSilence(const Service &service, const TargetId &target);
     void checkDeath(Service &service, const Choice &choice);
     static bool mayTryAgain(const RequestHead &head, const AttemptReport &report, const ReplayableBody &body);
     static Refusal refusalOf(const Selection &selection);
--- a/Tests/LibSteering/TestTargetSelector.cpp
+++ b/Tests/LibSteering/TestTargetSelector.cpp
@@ -166,7 +166,7 @@
 
     void sample()
     {
-        constexpr int samplesEachSecond = 100;
+        constexpr int samplesEachSecond = 20;
         for (std::size_t target = 0; target < m_busy.size(); ++target) {
             m_sums[target] += static_cast<double>(m_busy[target]) / m_slots / samplesEachSecond;
         }
@@ -208,7 +208,7 @@
     for (const Milliseconds serviceTime : { Milliseconds(20), Milliseconds(800) }) {
         for (const int slots : { 4, 9 }) {
             FleetSimulation simulation(7, 12, slots, serviceTime, SlotPolicy::Optimistic, seed);
-            simulation.run(0.7, Milliseconds(20'000) + serviceTime * 200);
+            simulation.run(0.7, Milliseconds(1'500) + serviceTime * 30);
             CAPTURE(serviceTime.count());
             CAPTURE(slots);
             MESSAGE("requests ", simulation.requests, " refused ", simulation.refused, " sheds ", simulation.sheds,
@@ -225,7 +225,7 @@
 {
     // Guards against shares that add up to more than the target's slots.
     FleetSimulation simulation(7, 12, 4, Milliseconds(20), SlotPolicy::Divided, 1);
-    simulation.run(0.5, Milliseconds(5'000));
+    simulation.run(0.5, Milliseconds(1'000));
     CHECK(simulation.sheds == 0);
     MESSAGE("divided: requests ", simulation.requests, " refused ", simulation.refused);
 }
--- a/Tests/LibTarget/ScriptedTarget.h
+++ b/Tests/LibTarget/ScriptedTarget.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <string>
 #include <thread>
 #include <vector>
@@ -72,23 +73,31 @@
         while (!m_isStopped) {
             if (m_socket.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ)) {
                 ++m_accepted;
-                m_connections.emplace_back([this, socket = m_socket.acceptConnection()]() mutable {
-                    socket.setReceiveTimeout(Poco::Timespan(5, 0));
-                    try {
-                        m_script(socket);
-                    } catch (const Poco::Exception &) {
-                        // The test's side closed first.
-                    }
+                Poco::Net::StreamSocket &socket = m_sockets.emplace_back(m_socket.acceptConnection());
+                m_connections.emplace_back([this, &socket] {
+                    runScript(socket);
                 });
             }
         }
     }
 
+    void runScript(Poco::Net::StreamSocket &socket)
+    {
+        try {
+            socket.setReceiveTimeout(Poco::Timespan(5, 0));
+            m_script(socket);
+        } catch (const Poco::Exception &) {
+            // The test's side closed first.
+        }
+        socket.close();
+    }
+
     Script m_script;
     Poco::Net::ServerSocket m_socket;
     Poco::Net::SocketAddress m_address;
     std::atomic<int> m_accepted { 0 };
     std::atomic<bool> m_isStopped { false };
+    std::list<Poco::Net::StreamSocket> m_sockets; ///< Released by the test's thread, after the scripts have ended.
     std::vector<std::thread> m_connections;
     std::thread m_thread;
 };
--- a/Tests/LibTarget/TestServiceTargets.cpp
+++ b/Tests/LibTarget/TestServiceTargets.cpp
@@ -248,6 +248,24 @@
     CHECK(runMany("/", Milliseconds(250)) == 12);
 }
 
+TEST_CASE("ServiceTargets runs the request of a failed trial elsewhere within its deadline")
+{
+    // Guards against trials that cost a caller its whole deadline, and against a trial with each request.
+    const ScriptedTarget frozen([](Poco::Net::StreamSocket &socket) {
+        ScriptedTarget::readHead(socket);
+        ScriptedTarget::readHead(socket);
+    });
+    const StandInRunner standIn(StandInRunner::settings(1, 4, Milliseconds(0)));
+    Fixture fixture(configurationOf({ standIn.addressOf("t0"), frozen.address().toString() }));
+    fixture.targets.takeReport({ TargetId("t1"), VmId("vm-2"), fixture.clock.now(), TargetHealth::Failing });
+    const TimePoint start = fixture.clock.now();
+    for (int i = 0; i < 5; ++i) {
+        CHECK_FALSE(fixture.run(fixture.head("/", Milliseconds(5000))).refusal);
+    }
+    CHECK(fixture.clock.now() - start < Milliseconds(1500));
+    CHECK(frozen.accepted() == 1);
+}
+
 TEST_CASE("ServiceTargets lets a request wait for room only while its deadline allows it")
 {
     // Guards against refusals when a slot becomes free in time, and against waiting that can't succeed.
--- a/Tests/LibTarget/TestTargetObserver.cpp
+++ b/Tests/LibTarget/TestTargetObserver.cpp
@@ -85,6 +85,7 @@
 {
     // Guards against targets that no VM observes, and against load that grows with the number of VMs.
     std::vector<VmId> vms;
+    vms.reserve(7);
     for (int i = 0; i < 7; ++i) {
         vms.emplace_back("vm-" + std::to_string(i));
     }
