--- a/Tests/LibTarget/TestServiceTargets.cpp
+++ b/Tests/LibTarget/TestServiceTargets.cpp
@@ -376,7 +376,9 @@
         ++runs[entries->getObject(i)->getValue<std::string>("id")];
     }
     std::map<Verdict, int> counts;
-    for (const auto &[id, verdict] : verdicts) {
+    for (const auto &entry : verdicts) {
+        const std::string &id = entry.first;
+        const Verdict verdict = entry.second;
         CAPTURE(id);
         ++counts[verdict];
         CHECK(runs[id] <= 1);
