LibFleet: Count the framing in the traffic and keep it under 10 kB/s

A trial counted 209 bytes on the connection for a call whose two messages have 102 bytes (225 before gRPC's window probes were turned off). Fewer reports of changed load go into a message for that, and a statement is no longer relayed to the region that it came from.

--- a/Libraries/LibFleet/ExchangeBuilder.cpp
+++ b/Libraries/LibFleet/ExchangeBuilder.cpp
@@ -190,8 +190,10 @@
     }
     request.set_acknowledged(record.sequence);
     for (const Statement &statement : m_configuration.newestStatements(now)) {
-        request.mutable_region_ages()->add_keys(regionKey(statement.region));
-        request.mutable_region_ages()->add_ages(encodeAge(statement.statedAt, now));
+        if (statement.region != m_membership.place().region) {
+            request.mutable_region_ages()->add_keys(regionKey(statement.region));
+            request.mutable_region_ages()->add_ages(encodeAge(statement.statedAt, now));
+        }
     }
     for (const WireKey key : record.wanted) {
         request.add_wanted(key);
@@ -233,7 +235,7 @@
     }
     writeSummaries(update, record, relation, wanted, now);
     writeDirectories(update, record, relation, wanted, now);
-    writeStatements(update, request.region_ages(), now);
+    writeStatements(update, relation, request.region_ages(), now);
     writeEntries(response, message.own.version);
     if (relation.isOwnRegion) {
         writeReports(update, record, now);
@@ -381,7 +383,8 @@
     }
 }
 
-void ExchangeBuilder::writeStatements(wire::Update &update, const wire::Heartbeats &heard, TimePoint now) const
+void ExchangeBuilder::writeStatements(wire::Update &update, const Relation &relation, const wire::Heartbeats &heard,
+                                      TimePoint now) const
 {
     std::unordered_map<WireKey, Milliseconds> peerAges;
     for (int i = 0; i < heard.keys_size(); ++i) {
@@ -391,8 +394,9 @@
         const Microseconds age = now - statement.statedAt;
         const auto peerAge = peerAges.find(regionKey(statement.region));
         const bool isLater = peerAge == peerAges.end() || age + m_settings.statementLead < peerAge->second;
-        const bool isOwn = statement.region == m_membership.place().region;
-        if (isLater && !isOwn && age < m_settings.relayLimit) {
+        const bool isForeign =
+            statement.region != m_membership.place().region && statement.region != relation.place.region;
+        if (isLater && isForeign && age < m_settings.relayLimit) {
             encode(statement, now, *update.add_statements());
         }
     }
--- a/Libraries/LibFleet/ExchangeBuilder.h
+++ b/Libraries/LibFleet/ExchangeBuilder.h
@@ -28,7 +28,7 @@
     std::size_t directoryLimit { 4 };
     /// Reports of changed load in one message; changed health is always sent. The limit bounds the traffic at 44
     /// targets in a region, each of which a VM hears of from up to six peers.
-    std::size_t reportLimit { 6 };
+    std::size_t reportLimit { 4 };
     /// A relayed summary, room or report whose content did not change is sent again when it is newer by this.
     Milliseconds summaryRefresh { 1'900 };
     /// Summaries of the own region are passed on to another region at most this often.
@@ -86,7 +86,8 @@
                       Milliseconds refresh, const std::set<WireKey> &wanted, TimePoint now) const;
     void writeDirectories(wire::Update &update, PeerRecord &record, const Relation &relation,
                           const std::set<WireKey> &wanted, TimePoint now) const;
-    void writeStatements(wire::Update &update, const wire::Heartbeats &heard, TimePoint now) const;
+    void writeStatements(wire::Update &update, const Relation &relation, const wire::Heartbeats &heard,
+                         TimePoint now) const;
     void writeEntries(wire::ExchangeResponse &response, ConfigurationVersion version) const;
     void writeReports(wire::Update &update, PeerRecord &record, TimePoint now) const;
     void writeRooms(wire::Update &update, PeerRecord &record, const Relation &relation, const wire::Heartbeats &heard,
--- a/Libraries/LibFleet/FleetChannel.h
+++ b/Libraries/LibFleet/FleetChannel.h
@@ -11,6 +11,10 @@
 
 namespace Sapphire {
 
+/// Bytes that may be under way on a stream. The number is fixed, since gRPC's probes for it cost most calls of the
+/// exchange a packet of their own; 1 MB lets 18 MB/s pass between regions that are 55 ms apart.
+inline constexpr int streamWindowBytes = 1'000'000;
+
 /// A connection to another VM. Only the sources of this library include this header, since it brings in gRPC.
 struct FleetChannel
 {
--- a/Libraries/LibFleet/FleetClient.cpp
+++ b/Libraries/LibFleet/FleetClient.cpp
@@ -81,6 +81,8 @@
     // Repeating a call is the decision of the code that knows whether it may run twice.
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, streamWindowBytes);
     arguments.SetMaxReceiveMessageSize(std::max(m_settings.messageLimit, m_settings.snapshotLimit));
     auto channel = std::make_shared<FleetChannel>();
     channel->address = address;
--- a/Libraries/LibFleet/FleetServer.cpp
+++ b/Libraries/LibFleet/FleetServer.cpp
@@ -320,6 +320,8 @@
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, static_cast<int>(settings.keepaliveTimeout.count()));
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
                                static_cast<int>(settings.leastPingInterval.count()));
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, streamWindowBytes);
     builder.AddListeningPort(settings.address, grpc::InsecureServerCredentials(), &server->m_data->port);
     builder.RegisterService(&server->m_data->service);
     server->m_data->server = builder.BuildAndStart();
--- a/Tests/LibFleet/FleetMeasurement.h
+++ b/Tests/LibFleet/FleetMeasurement.h
@@ -58,6 +58,8 @@
 {
     const RegionId region("region-0");
     constexpr double changesPerSecond = 3'300.0 / 86'400.0;
+    // Of HTTP/2 and gRPC, at either side of a call: 209 bytes were counted on the connection for messages of 102 bytes.
+    constexpr double framingBytes = 107;
     constexpr double quietSeconds = 2;
     fleet.runFor(Milliseconds(6'000));
     CHECK(fleet.falseSuspicions() == 0);
@@ -81,10 +83,10 @@
             },
             Milliseconds(14'000));
     const double perChange = fleet.meanBytes(region) - quiet * static_cast<double>(known.count()) / 1'000.0;
-    const double total = quiet + perChange * changesPerSecond;
+    const double total = quiet + perChange * changesPerSecond + 2 * calls * framingBytes;
     MESSAGE(name << ": " << calls << " calls/s a VM; sent and received bytes/s a VM: mean " << quiet
-                 << " without changes, " << total << " with 3,300 changes a day, most " << most << "; one change "
-                 << perChange << " bytes a VM, applied everywhere after " << spread.count()
+                 << " without changes, " << total << " with 3,300 changes a day and framing, most " << most
+                 << "; one change " << perChange << " bytes a VM, applied everywhere after " << spread.count()
                  << " ms, confirmation known everywhere after " << known.count() << " ms");
     CHECK(calls < 12);
     CHECK(total < 10'000);
--- a/Tests/LibFleet/Scale/TestFleetScale.cpp
+++ b/Tests/LibFleet/Scale/TestFleetScale.cpp
@@ -30,4 +30,9 @@
     const std::size_t heap = (heapBytes() - heapBefore) / fleet.vms.size();
     MESSAGE("730 VMs in 20 zones: " << heap / 1024 << " KiB of heap a VM");
     CHECK(heap < 2U * 1024 * 1024);
+
+    // A lost response must not make a VM look silent.
+    fleet.loss = 0.02;
+    fleet.runFor(Milliseconds(2'000));
+    CHECK(fleet.falseSuspicions() == 0);
 }
