LibLimit: Keep a borrowed token for the request that called for it

With 16 threads on one lender, a request whose loan had arrived could find its token taken by another one; it had already asked the lender and was refused. The token is now set aside when the loan arrives.

--- a/Libraries/LibLimit/Admission.h
+++ b/Libraries/LibLimit/Admission.h
@@ -4,6 +4,7 @@
 #include <LibCore/Ids.h>
 #include <LibSteering/Loan.h>
 
+#include <optional>
 #include <set>
 
 namespace Sapphire {
@@ -37,6 +38,8 @@
     TimePoint startedAt {};
     bool isWaiting { false }; ///< For another request's call.
     bool isWaitingForToken { false };
+    /// Set while the request holds a borrowed token, so that no other request takes what it waited for.
+    std::optional<Deadline> tokenUntil {};
     std::set<VmId> asked {}; ///< Lenders that this request has called.
 };
 
--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Sapphire {
 
@@ -89,7 +90,9 @@
         holder.ownDemand.add(1, now);
         holder.regionalDemand.add(1, now);
     }
-    if (holder.bucket.take(now) || holder.loans.take(now)) {
+    const std::optional<Deadline> tokenUntil = std::exchange(attempt.tokenUntil, std::nullopt);
+    const bool hasToken = tokenUntil && !tokenUntil->hasPassed(now);
+    if (hasToken || holder.bucket.take(now) || holder.loans.take(now)) {
         return finished(holder, { Admission::Kind::Admitted });
     }
     return borrowOrRefuse(holder, attempt, now);
@@ -170,8 +173,8 @@
     return Tokens(1 + account.waiting + static_cast<std::int64_t>(ahead));
 }
 
-void CustomerLimiter::finishBorrow(const AdmissionAttempt &attempt, const AdmissionStep &step,
-                                   const Outcome<Loan> &answer, TimePoint now)
+void CustomerLimiter::finishBorrow(AdmissionAttempt &attempt, const AdmissionStep &step, const Outcome<Loan> &answer,
+                                   TimePoint now)
 {
     {
         const Lock lock(m_mutex);
@@ -183,6 +186,7 @@
             if (answer) {
                 account.borrowed += static_cast<std::uint64_t>(answer.value().tokens.value());
                 account.loans.takeAnswer(step.lender, step.wanted, answer.value(), now);
+                attempt.tokenUntil = account.loans.takeUntil(now);
             } else {
                 account.loans.takeFailure(step.lender, now);
             }
--- a/Libraries/LibLimit/CustomerLimiter.h
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -42,8 +42,7 @@
     /// Takes an attempt as far as it gets without blocking. admit() drives this; an event loop can do so as well.
     AdmissionStep advance(AdmissionAttempt &attempt, TimePoint now);
     /// Ends the call that a Borrow step asked for.
-    void finishBorrow(const AdmissionAttempt &attempt, const AdmissionStep &step, const Outcome<Loan> &answer,
-                      TimePoint now);
+    void finishBorrow(AdmissionAttempt &attempt, const AdmissionStep &step, const Outcome<Loan> &answer, TimePoint now);
 
     [[nodiscard]] Result<Loan> lend(const CustomerId &customer, Tokens wanted, const VmIncarnation &borrower,
                                     TimePoint now) override;
--- a/Libraries/LibSteering/LoanBook.cpp
+++ b/Libraries/LibSteering/LoanBook.cpp
@@ -47,17 +47,18 @@
     }
 }
 
-bool LoanBook::take(TimePoint now)
+std::optional<Deadline> LoanBook::takeUntil(TimePoint now)
 {
     dropExpired(now);
     if (m_tokens.empty()) {
-        return false;
+        return std::nullopt;
     }
     const auto first = m_tokens.begin();
+    const Deadline deadline = first->first;
     if (--first->second == 0) {
         m_tokens.erase(first);
     }
-    return true;
+    return deadline;
 }
 
 Tokens LoanBook::tokens(TimePoint now)
--- a/Libraries/LibSteering/LoanBook.h
+++ b/Libraries/LibSteering/LoanBook.h
@@ -3,6 +3,7 @@
 #include <LibSteering/Loan.h>
 
 #include <map>
+#include <optional>
 
 namespace Sapphire {
 
@@ -32,7 +33,12 @@
     void takeFailure(const VmId &lender, TimePoint now);
 
     /// Uses one borrowed token, the one that ends first.
-    bool take(TimePoint now);
+    bool take(TimePoint now)
+    {
+        return takeUntil(now).has_value();
+    }
+    /// Sets one borrowed token aside and returns until when it can be used.
+    std::optional<Deadline> takeUntil(TimePoint now);
     Tokens tokens(TimePoint now);
 
     bool mayAsk(const VmId &lender, TimePoint now) const;
