--- a/Libraries/LibFleet/FleetClient.cpp
+++ b/Libraries/LibFleet/FleetClient.cpp
@@ -81,6 +81,8 @@
     // Repeating a call is the decision of the code that knows whether it may run twice.
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, streamWindowBytes);
     arguments.SetMaxReceiveMessageSize(std::max(m_settings.messageLimit, m_settings.snapshotLimit));
     auto channel = std::make_shared<FleetChannel>();
     channel->address = address;
@@ -181,10 +183,13 @@
 
 std::unique_ptr<RequestHandler> FleetClient::forward(const VmId &vm)
 {
-    auto opened = capture([&] {
-        return channel(vm);
-    });
-    return std::make_unique<ForwardHandler>(vm, opened ? opened.value() : nullptr, m_clock, m_settings.connectLimit);
+    const auto channels = [this, vm]() -> std::shared_ptr<FleetChannel> {
+        const auto opened = capture([&] {
+            return channel(vm);
+        });
+        return opened ? opened.value() : nullptr;
+    };
+    return std::make_unique<ForwardHandler>(vm, channels, m_clock, m_settings.connectLimit);
 }
 
 Result<RemoteRequestState> FleetClient::requestState(const VmId &vm, const CustomerId &customer, const RequestId &id,
