LibCaller: Ask the issuer or the table before passing on that a forwarded id has not run

Cause: 3 of 1,745 ids had run, and a resend to another VM was refused as not run: the forward to the killed issuer failed before it was sent, which says nothing of earlier attempts; only one of the reasons for that was looked up. Ruled out: the claims and the table (their records were right). Conclusion: every refusal of a forwarded id takes its verdict from the state of the id.

--- a/Libraries/LibCaller/EntryHandler.cpp
+++ b/Libraries/LibCaller/EntryHandler.cpp
@@ -206,16 +206,13 @@
     if (!report.refusal || report.isAnswerStarted || report.refusal->verdict != Verdict::NotRun) {
         return report;
     }
-    if (report.refusal->reason != RefusalReason::IssuerUnreachable) {
-        return report;
-    }
-    const RequestRecord record = m_parts.ledger.state({ head.customer, head.id }, head.deadline);
+    // This attempt has not run. Whether an earlier one has is for the issuer or the table to say.
+    const Deadline deadline = head.deadline.earlier(Deadline::after(m_parts.clock.now(), stateTimeout));
+    const RequestRecord record = m_parts.states.find({ head.customer, head.id }, deadline);
     if (record.state == RequestState::Ran && record.answer.isWhole) {
         return replay(record.answer, sink);
     }
-    // This attempt has not run, but an earlier one may have; only its issuer could tell.
     report.refusal->verdict = verdictOf(record.state);
-    report.refusal->detail = "the VM that issued the request id can't be reached";
     return report;
 }
 
--- a/Tests/LibCaller/CallerFixture.h
+++ b/Tests/LibCaller/CallerFixture.h
@@ -60,7 +60,7 @@
         if (isReachable) {
             return FakeLocalTargets::answerWith(sink, "from " + vm.text());
         }
-        return { Refusal { RefusalReason::IssuerUnreachable, Verdict::NotRun, "unreachable" }, false };
+        return { Refusal { RefusalReason::NoCapacity, Verdict::NotRun, "unreachable" }, false };
     }
     Result<RequestRecord> requestState(const VmIncarnation &, const RequestKey &, Deadline) override
     {
