--- a/Tests/LibLimit/TestLimitSimulation.cpp
+++ b/Tests/LibLimit/TestLimitSimulation.cpp
@@ -13,7 +13,7 @@
 constexpr double tolerance = 1e-6;
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-constexpr int sanitizerSlowdown = 30;
+constexpr int sanitizerSlowdown = 60;
 #else
 constexpr int sanitizerSlowdown = 1;
 #endif
