--- a/Tests/LibLimit/TestLimitSimulation.cpp
+++ b/Tests/LibLimit/TestLimitSimulation.cpp
@@ -72,9 +72,9 @@
 
 TEST_CASE("no window admits more than rate x window + burst under faults")
 {
-    // Guards against every way to spend tokens twice. With 60 seeds the checks fail if a raised share fills its bucket,
-    // if lent tokens don't count against the lender's capacity, if shares return before a retirement is in force, or
-    // if VMs that are not fresh admit requests.
+    // Guards against tokens that are spent twice. With 60 seeds the checks fail if a raised share fills its bucket, if
+    // lent tokens don't count against the lender's capacity, or if shares return before a retirement is in force.
+    // The other safeguards have tests of their own in TestAllotmentKeeper, TestCustomerLimiter and TestTokenBucket.
     Totals totals;
     const int seeds = seedCount(60);
     runSeeds(totals, seeds, LimitPolicy::Shares, {}, Milliseconds(30'000));
