LibDaemon: Retire unknown holders of shares, and don't charge retries after shedding to the budget

Ruled out: a larger budget (it would also allow more retries after failures). Before: such shares stay unused; after: they are noted for retirement. Two retries after shedding are free of charge.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -216,6 +216,10 @@
 {
     const TimePoint now = m_clock.now();
     m_limiter.refresh(now);
+    // A holder that no VM has heard of, since all that knew it were replaced, must still be retired.
+    for (const VmIncarnation &holder : m_limiter.shareHolders()) {
+        m_keeper.noteProcess(holder);
+    }
     if (m_serving.phase() == ServingState::Phase::Refusing) {
         m_allotments.release(now);
     } else {
--- a/Libraries/LibDaemon/LocalTargetRunner.cpp
+++ b/Libraries/LibDaemon/LocalTargetRunner.cpp
@@ -2,6 +2,14 @@
 
 namespace Sapphire {
 
+namespace {
+
+// A target that sheds has done no work, and several VMs that share its slots make it shed now and then although the
+// region has room; such retries would use up the budget that is meant for failures.
+constexpr int freeRetriesAfterShedding = 2;
+
+} // namespace
+
 LocalTargetRunner::LocalTargetRunner(ServiceTargets &targets, Tracer &tracer, VmId ownVm)
     : m_targets(targets), m_tracer(tracer), m_ownVm(std::move(ownVm))
 {
@@ -22,7 +30,12 @@
     RunContext context;
     context.fingerprint = options.fingerprint.text();
     if (options.mayRetry) {
-        context.mayRetry = [this, &head](const AttemptReport &) {
+        context.mayRetry = [this, &head, freeRetries = freeRetriesAfterShedding](const AttemptReport &attempt) mutable {
+            const bool isCheap = attempt.end == AttemptEnd::Shed || attempt.end == AttemptEnd::OwnLimit;
+            if (isCheap && freeRetries > 0) {
+                --freeRetries;
+                return true;
+            }
             return m_router->tryRetry(head.customer, head.service);
         };
     }
--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -450,6 +450,18 @@
     return found == m_accounts.end() ? Share(0) : found->second.bucket.share();
 }
 
+std::set<VmIncarnation> CustomerLimiter::shareHolders() const
+{
+    const Lock lock(m_mutex);
+    std::set<VmIncarnation> holders;
+    for (const auto &[customer, account] : m_accounts) {
+        for (const AllotmentEntry &entry : account.knownAllotment.entries) {
+            holders.insert(entry.process);
+        }
+    }
+    return holders;
+}
+
 void CustomerLimiter::noteAllotment(const CustomerId &customer, const Allotment &allotment, TimePoint now)
 {
     const Lock lock(m_mutex);
--- a/Libraries/LibLimit/CustomerLimiter.h
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -50,6 +50,8 @@
     /// Returns the VMs that look-ups should list first, those of the own region before others.
     std::vector<VmId> homeVms(const CustomerId &customer) const;
     std::vector<LimitSnapshot> snapshot(TimePoint now) const;
+    /// Returns the processes that hold shares, as far as the rows were read here.
+    std::set<VmIncarnation> shareHolders() const;
 
     /// Takes over changes of the roster. Called about once a second.
     void refresh(TimePoint now);
