--- a/Tests/Demo/main.cpp
+++ b/Tests/Demo/main.cpp
@@ -8,6 +8,7 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <csignal>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -15,6 +16,7 @@
 DEFINE_string(plan, "Settings/quick.json", "deployment to run");
 DEFINE_bool(delays, true, "delay the network between zones and regions as planned");
 DEFINE_bool(keep, false, "keep the folder with settings, logs and traces");
+DEFINE_bool(serve, false, "print the addresses and wait for SIGTERM or SIGINT instead of running the main job");
 
 using namespace Sapphire;
 
@@ -211,6 +213,36 @@
     BootClock m_clock;
 };
 
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/// Prints what a caller and an operator need and keeps the deployment up until a stop signal.
+Result<void> serve(Deployment &deployment)
+{
+    BOOST_LEAF_AUTO(tokenFile, deployment.folder().write("operator-token", deployment.operatorToken() + "\n"));
+    std::ostringstream keys;
+    for (const PlannedCustomer &customer : deployment.plan().customers) {
+        keys << customer.name << ' ' << deployment.key(customer.name) << '\n';
+    }
+    BOOST_LEAF_AUTO(keyFile, deployment.folder().write("customer-keys", keys.str()));
+    for (const DeployedVm &vm : deployment.vms()) {
+        std::cout << vm.vm.text() << " caller " << vm.callerAddress << " operator " << vm.operatorAddress
+                  << " token-file " << tokenFile.string() << '\n';
+    }
+    std::cout << "platform stand-in " << deployment.platform().address() << "; keys of customers in "
+              << keyFile.string() << "; ends at SIGTERM or SIGINT" << std::endl;
+    const sigset_t signals = stopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return {};
+}
+
 Result<void> runDemo()
 {
     BOOST_LEAF_AUTO(plan, DeploymentPlan::load(FLAGS_plan));
@@ -225,6 +257,9 @@
               << (FLAGS_keep ? deployment->folder().path().string()
                              : "a folder that is removed at the end (--keep keeps it)")
               << std::endl;
+    if (FLAGS_serve) {
+        return serve(*deployment);
+    }
     return Demo(*deployment).run();
 }
 
@@ -234,6 +269,11 @@
 {
     gflags::SetUsageMessage("runs a deployment of sapphiredeck on stand-ins and shows its main job");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_serve) {
+        // Before any thread starts, so that only sigwait() takes the signals, also while the deployment starts.
+        const sigset_t signals = stopSignals();
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    }
     const Outcome<void> outcome = capture(runDemo);
     if (!outcome) {
         std::cerr << "sapphire-demo: " << outcome.error().message << '\n';
