LibCaller: Don't close connections that arrive at the same moment

Cause: POCO's dispatcher closes an accepted connection if as many as the queue holds wait for a thread, also while threads are free. The queue held one, so of two callers that connected within the time that a thread takes to start, one was reset. Ruled out: the VM that was stopping (the resets came from another one, which wasn't stopped); the connection guard (it only shuts down after 20 s). The queue now holds 64. Conclusion: beyond the most connections up to 64 callers now wait for a thread instead of being reset at once.

--- a/Libraries/LibCaller/CallerServer.cpp
+++ b/Libraries/LibCaller/CallerServer.cpp
@@ -21,6 +21,9 @@
 constexpr int socketTimeoutSeconds = 10;
 constexpr int backlog = 256;
 constexpr int mostRequestsPerConnection = 0; // No limit.
+// POCO closes accepted connections beyond this number that no thread has taken yet, also while threads are free.
+// Callers that connect at the same moment must fit in.
+constexpr int mostQueuedConnections = 64;
 
 class Handler final : public Poco::Net::HTTPRequestHandler
 {
@@ -141,7 +144,7 @@
     try {
         Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
         parameters->setMaxThreads(settings.mostConnections);
-        parameters->setMaxQueued(1);
+        parameters->setMaxQueued(mostQueuedConnections);
         parameters->setKeepAlive(true);
         parameters->setMaxKeepAliveRequests(mostRequestsPerConnection);
         parameters->setTimeout(Poco::Timespan(socketTimeoutSeconds, 0));
