--- /dev/null
+++ b/Tests/Integration/RateCheck.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <Integration/TargetLedger.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace Sapphire {
+
+/// Time from the admission of a request to its start at a target. The targets have far more slots than the load needs,
+/// so that it is a hop on loopback; the rest is for scheduling on a busy machine. A window of starts may hold the
+/// admissions of a window that is longer by this.
+inline constexpr double startDelaySeconds = 0.1;
+
+/// A customer's rate from a time on.
+struct RateFrom
+{
+    TimePoint from;
+    double rate;
+};
+
+inline double tokensUntil(TimePoint time, const std::vector<RateFrom> &rates)
+{
+    double tokens = 0;
+    for (std::size_t i = 0; i < rates.size() && rates[i].from < time; ++i) {
+        const TimePoint end = i + 1 < rates.size() ? std::min(time, rates[i + 1].from) : time;
+        tokens += rates[i].rate * std::chrono::duration<double>(end - rates[i].from).count();
+    }
+    return tokens;
+}
+
+/// Returns the largest count of starts in any window, less the refill in that window. It must not exceed the burst.
+inline double mostAboveRefill(std::vector<TimePoint> starts, const std::vector<RateFrom> &rates)
+{
+    std::sort(starts.begin(), starts.end());
+    double most = 0;
+    double least = 0;
+    for (std::size_t i = 0; i < starts.size(); ++i) {
+        const double before = static_cast<double>(i) - tokensUntil(starts[i], rates);
+        least = i == 0 ? before : std::min(least, before);
+        most = std::max(most, before + 1 - least);
+    }
+    return most;
+}
+
+inline std::vector<TimePoint> startsOf(Deployment &deployment, const std::string &customer)
+{
+    std::vector<TimePoint> starts;
+    for (const LedgerEntry &entry : readLedger(deployment)) {
+        if (entry.customer == customer) {
+            starts.push_back(entry.startedAt);
+        }
+    }
+    return starts;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/Integration/TestRegionOverload.cpp
@@ -0,0 +1,205 @@
+#include <Integration/IntegrationLoad.h>
+#include <Integration/TargetLedger.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+
+using namespace Sapphire;
+
+namespace {
+
+constexpr std::uint64_t seed = 71;
+constexpr double cap = 0.2; ///< Of the flow, per shift interval.
+constexpr double intervalSeconds = 5;
+constexpr double sampleSeconds = 2.5;
+constexpr Milliseconds timeBefore { 3'000 };
+constexpr Milliseconds timeFailed { 8'000 };
+constexpr Milliseconds timeAfter { 11'000 };
+/// Smaller changes of a share between samples of 300 requests are chance (three standard deviations).
+constexpr double leastChange = 0.1;
+
+// At 100 ms for a request, pampa has 12 slots for 120 requests a second and half of them are taken by its own callers.
+const LoadCustomer caller { "bodega-andina", "", 120, 2'000, 500 };
+const LoadCustomer neighbour { "bar-el-grifo", "", 60, 2'000, 500 };
+
+struct RegionFault
+{
+    std::string what;
+    std::string start; ///< Parameters of the stand-in's control.
+    std::string end;
+    std::string atReceiver {}; ///< Parameters for the targets of the receiving region.
+};
+
+void setTargets(Deployment &deployment, const std::string &region, const std::string &parameters)
+{
+    for (const DeployedTarget &target : deployment.targets()) {
+        if (target.service.text() == "status" && target.place.region.text() == region) {
+            expect([&] {
+                return deployment.targetControl("/control/set?target=" + target.target.text() + "&" + parameters);
+            });
+        }
+    }
+}
+
+LoadPlan loadOf(Deployment &deployment, const LoadCustomer &customer, const std::string &region, Milliseconds duration)
+{
+    LoadPlan plan = readLoad(deployment, { customer }, duration, seed);
+    std::erase_if(plan.origins, [&](const LoadOrigin &origin) {
+        return origin.region != region;
+    });
+    plan.routes.front().timeout = Milliseconds(1'000);
+    return plan;
+}
+
+/// Returns how many of the caller's requests started in another region, by sample since the given time.
+std::vector<double> movedBySample(Deployment &deployment, TimePoint since, double bin, std::size_t bins)
+{
+    std::vector<double> moved(bins, 0);
+    for (const LedgerEntry &entry : readLedger(deployment)) {
+        const double at = std::chrono::duration<double>(entry.startedAt - since).count();
+        const bool isMoved = entry.customer == caller.name && entry.target.find("cuyo") == std::string::npos;
+        if (isMoved && at >= 0 && at < bin * static_cast<double>(bins)) {
+            moved[static_cast<std::size_t>(at / bin)] += 1;
+        }
+    }
+    return moved;
+}
+
+int directionChanges(const std::vector<double> &shares)
+{
+    int changes = 0;
+    int direction = 0;
+    double last = shares.front();
+    for (const double share : shares) {
+        if (std::abs(share - last) < leastChange) {
+            continue;
+        }
+        const int next = share > last ? 1 : -1;
+        changes += direction != 0 && next != direction ? 1 : 0;
+        direction = next;
+        last = share;
+    }
+    return changes;
+}
+
+double unanswered(const LoadReport &report)
+{
+    const LoadReport::Totals totals = report.totals();
+    return static_cast<double>(totals.sent - totals.answered) / static_cast<double>(totals.sent);
+}
+
+void checkCap(Deployment &deployment, TimePoint failedAt)
+{
+    const auto intervals =
+        static_cast<std::size_t>(std::chrono::duration<double>(timeFailed).count() / intervalSeconds);
+    const std::vector<double> moved = movedBySample(deployment, failedAt, intervalSeconds, intervals + 1);
+    const double flow = caller.requestsPerSecond * intervalSeconds;
+    for (std::size_t i = 0; i < moved.size(); ++i) {
+        // Requests take the weights at random; three standard deviations are chance.
+        const double share = std::min(1.0, cap * static_cast<double>(i + 1));
+        const double bound = flow * share + 3 * std::sqrt(flow * share * (1 - share));
+        std::cout << "  interval " << i << ": " << moved[i] << " of " << flow << " moved, bound " << bound << std::endl;
+        CHECK(moved[i] <= bound);
+    }
+}
+
+void checkReceiver(Deployment &deployment)
+{
+    const auto counters = parseObject(expect([&] {
+                              return deployment.targetControl("/control/counters");
+                          }))->getObject("targets");
+    for (const DeployedTarget &target : deployment.targets()) {
+        if (target.service.text() != "status" || target.place.region.text() != "pampa") {
+            continue;
+        }
+        const auto counted = counters->getObject(target.target.text());
+        const int ran = counted->getValue<int>("ran");
+        const int shed = counted->getValue<int>("shed");
+        std::cout << "  " << target.target.text() << ": most in flight " << counted->getValue<int>("mostInFlight")
+                  << " of " << target.slots << " slots, ran " << ran << ", shed " << shed << std::endl;
+        CAPTURE(target.target.text());
+        CHECK(counted->getValue<int>("mostInFlight") <= target.slots);
+        CHECK(shed * 20 <= ran);
+    }
+}
+
+void failRegionAndCheck(const RegionFault &fault)
+{
+    const auto deployment = startDeployment();
+    for (const LoadCustomer &customer : { caller, neighbour }) {
+        REQUIRE(outcomeOf(command(*deployment, "cuyo-a-1", "set customer " + customer.name + " rate 2000 burst 500"))
+                == "in-force");
+    }
+    for (const char *region : { "cuyo", "pampa", "norte" }) {
+        setTargets(*deployment, region, "serviceTimeMs=100");
+    }
+    const BootClock clock;
+    LoadReport callers;
+    LoadReport neighboursBefore;
+    LoadReport neighboursAfter;
+    TimePoint failedAt;
+    const TimePoint start = clock.now();
+    const LoadPlan callerPlan = loadOf(*deployment, caller, "cuyo", timeBefore + timeFailed + timeAfter);
+    const LoadPlan planBefore = loadOf(*deployment, neighbour, "pampa", timeBefore);
+    const LoadPlan planAfter = loadOf(*deployment, neighbour, "pampa", timeFailed + timeAfter);
+    runUnderLoad(callerPlan, callers, [&] {
+        LoadRun(planBefore).run(neighboursBefore);
+        if (!fault.atReceiver.empty()) {
+            setTargets(*deployment, "pampa", fault.atReceiver);
+        }
+        failedAt = clock.now();
+        setTargets(*deployment, "cuyo", fault.start);
+        runUnderLoad(planAfter, neighboursAfter, [&] {
+            std::this_thread::sleep_for(timeFailed);
+            setTargets(*deployment, "cuyo", fault.end);
+        });
+    });
+    const auto samples = static_cast<std::size_t>(
+        std::chrono::duration<double>(timeBefore + timeFailed + timeAfter).count() / sampleSeconds);
+    std::vector<double> shares = movedBySample(*deployment, start, sampleSeconds, samples);
+    std::cout << fault.what << " (seed " << seed << "): unanswered in pampa before " << unanswered(neighboursBefore)
+              << ", from the fault on " << unanswered(neighboursAfter) << "; unanswered in cuyo " << unanswered(callers)
+              << ":";
+    for (const auto &[reason, count] : callers.totals().reasons) {
+        std::cout << " " << reason << "=" << count;
+    }
+    std::cout << "\n  share moved by sample of " << sampleSeconds << " s:";
+    for (double &share : shares) {
+        share /= caller.requestsPerSecond * sampleSeconds;
+        std::cout << " " << share;
+    }
+    std::cout << ", changes of direction " << directionChanges(shares) << std::endl;
+    CAPTURE(seed);
+    checkCap(*deployment, failedAt);
+    checkReceiver(*deployment);
+    CHECK(*std::max_element(shares.begin(), shares.end()) > cap / 2);
+    CHECK(directionChanges(shares) <= 2);
+    CHECK(unanswered(neighboursAfter) <= unanswered(neighboursBefore) + 0.01);
+}
+
+} // namespace
+
+TEST_CASE("The flow of a region whose targets are down moves under the cap and overloads no region")
+{
+    // Guards against a failed region that pushes its whole flow to the next one at once.
+    failRegionAndCheck({ "targets down", "down=1", "down=0" });
+}
+
+TEST_CASE("The flow of a region whose targets report failure moves under the cap and overloads no region")
+{
+    // Guards against health reports that move the flow faster than the cap.
+    failRegionAndCheck({ "targets report failure", "health=failing", "health=ok" });
+}
+
+TEST_CASE("A region that is slow behind frozen good reports moves its flow under the cap")
+{
+    // Guards against steering that trusts health and load reports over what it observes.
+    failRegionAndCheck({ "slow behind frozen reports", "freeze=1&serviceTimeMs=3000", "freeze=0&serviceTimeMs=100" });
+}
+
+TEST_CASE("A receiving region that reports idle targets with too many slots is not overloaded")
+{
+    // Guards against room that is granted on a lying load report.
+    failRegionAndCheck({ "lying load", "down=1", "down=0", "claimedInFlight=0&claimedSlots=100" });
+}
--- /dev/null
+++ b/Tests/Integration/TestTwoFaults.cpp
@@ -0,0 +1,185 @@
+#include <Integration/BookingStorm.h>
+#include <Integration/IntegrationLoad.h>
+#include <Integration/RateCheck.h>
+
+#include <iostream>
+
+using namespace Sapphire;
+
+namespace {
+
+constexpr std::uint64_t seed = 83;
+const std::string customer = "bodega-andina";
+
+void pause(Milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+std::unique_ptr<Deployment> deploymentForStorm()
+{
+    auto deployment = startDeployment();
+    REQUIRE(outcomeOf(command(*deployment, "cuyo-a-1", "set customer " + customer + " rate 2000 burst 500"))
+            == "in-force");
+    return deployment;
+}
+
+void checkAndPrint(const std::string &what, Deployment &deployment, const BookingStorm &storm)
+{
+    const StormResult result = checkStorm(deployment, storm);
+    std::cout << what << " (seed " << seed << "): " << result.ids << " ids, " << result.ran << " ran, "
+              << result.ranTwice << " twice, " << result.untrueNotRun << " untrue not-run, " << result.untrueRan
+              << " untrue ran, " << result.uncertain << " known only as may-have-run, " << result.withoutAnswer
+              << " attempts without an answer" << std::endl;
+    CAPTURE(seed);
+    CHECK(result.ran > 50);
+    CHECK(result.ranTwice == 0);
+    CHECK(result.untrueNotRun == 0);
+    CHECK(result.untrueRan == 0);
+}
+
+} // namespace
+
+TEST_CASE("Bookings run at most once when a VM is killed and replaced in an outage of the store")
+{
+    // Guards against ids of the killed VM that another VM or its new process runs because no row can be read.
+    const auto deployment = deploymentForStorm();
+    RandomSource random(seed);
+    BookingStorm storm(*deployment, seed, 8, customer);
+    storm.start();
+    pause(Milliseconds(1'500));
+    expect([&] {
+        return deployment->platform().setOutage(OutageMode::Refuse);
+    });
+    for (int round = 0; round < 2; ++round) {
+        pause(Milliseconds(1'000 + random.below(500)));
+        const std::string name = deployment->vms()[random.below(deployment->vms().size())].vm.text();
+        deployment->vm(name).process->kill();
+        pause(Milliseconds(500));
+        expect([&] {
+            return deployment->startVm(name);
+        });
+    }
+    pause(Milliseconds(2'000));
+    expect([&] {
+        return deployment->platform().setOutage(OutageMode::None);
+    });
+    pause(Milliseconds(2'000));
+    storm.stop();
+    checkAndPrint("store outage and VMs killed", *deployment, storm);
+}
+
+TEST_CASE("A key that is withdrawn while a region is cut off stops working within 14 s on both sides")
+{
+    // Guards against a cut-off region that goes on with a withdrawn key, also right after the cut has healed.
+    constexpr Milliseconds bound { 14'000 };
+    const auto deployment = deploymentForStorm();
+    const BootClock clock;
+    BookingStorm storm(*deployment, seed + 1, 8, customer);
+    storm.start();
+    pause(Milliseconds(2'000));
+    expect([&] {
+        return deployment->cutRegion("norte");
+    });
+    const TimePoint withdrawnAt = clock.now();
+    const auto answer = command(*deployment, "pampa-a-1", "withdraw key " + customer + "-1", Milliseconds(1'000));
+    const bool isRefused = waitFor(
+        [&] {
+            return std::all_of(deployment->vms().begin(), deployment->vms().end(), [&](const DeployedVm &vm) {
+                const auto read = request(*deployment, vm.vm.text(), customer, "GET", "/v1/services/status/lines/7", "",
+                                          Milliseconds(500));
+                return read && read.value().status >= 400;
+            });
+        },
+        after(bound));
+    const TimePoint refusedAt = clock.now();
+    CHECK(isRefused);
+    expect([&] {
+        return deployment->healNetwork();
+    });
+    pause(Milliseconds(3'000));
+    storm.stop();
+    TimePoint last = withdrawnAt;
+    std::size_t afterRefusal = 0;
+    for (const TimePoint start : startsOf(*deployment, customer)) {
+        last = std::max(last, start);
+        afterRefusal += start > refusedAt ? 1 : 0;
+    }
+    std::cout << "region cut and key withdrawn: command " << outcomeOf(answer) << ", last start of the key "
+              << std::chrono::duration_cast<Milliseconds>(last - withdrawnAt).count()
+              << " ms after the command, starts after all VMs refused " << afterRefusal << std::endl;
+    CHECK(last - withdrawnAt <= bound);
+    CHECK(afterRefusal == 0);
+    checkAndPrint("region cut and key withdrawn", *deployment, storm);
+}
+
+TEST_CASE("A rate that is lowered while a VM is frozen holds when the VM resumes")
+{
+    // Guards against a resumed VM that admits by the old rate or by the tokens of the time in which it stood still.
+    constexpr double lowRate = 20;
+    const LoadCustomer over { customer, "", 250, 50, 20 };
+    const auto deployment = startDeployment();
+    const BootClock clock;
+    std::vector<RateFrom> rates { { TimePoint {}, over.rate } };
+    LoadReport report;
+    LoadPlan plan = readLoad(*deployment, { over }, Milliseconds(14'000), seed);
+    plan.usesLookUps = false;
+    std::string outcome;
+    runUnderLoad(plan, report, [&] {
+        pause(Milliseconds(1'500));
+        ChildProcess &process = *deployment->vm("cuyo-b-1").process;
+        process.stop();
+        const TimePoint resumeAt = clock.now() + Milliseconds(6'000);
+        rates.push_back({ clock.now(), over.rate });
+        outcome = outcomeOf(
+            command(*deployment, "pampa-a-1", "set customer " + customer + " rate 20 burst 20", Milliseconds(14'000)));
+        rates.push_back({ clock.now(), lowRate });
+        if (clock.now() < resumeAt) {
+            std::this_thread::sleep_for(resumeAt - clock.now());
+        }
+        process.resume();
+    });
+    const std::vector<TimePoint> starts = startsOf(*deployment, customer);
+    const double above = mostAboveRefill(starts, rates);
+    const double limit = over.burst + over.rate * startDelaySeconds;
+    std::cout << "freeze and rate change (seed " << seed << "): command " << outcome << " after "
+              << std::chrono::duration_cast<Milliseconds>(rates[2].from - rates[1].from).count() << " ms, started "
+              << starts.size() << ", most above refill " << above << " (bound " << limit << ")" << std::endl;
+    CAPTURE(seed);
+    CHECK(outcome == "in-force");
+    CHECK(starts.size() > 20);
+    CHECK(above <= limit);
+}
+
+TEST_CASE("Bookings run at most once when a target crashes while another one drains")
+{
+    // Guards against retries of requests that the crash cut off, and against work for the draining target.
+    constexpr Milliseconds drainTime { 3'000 };
+    const auto deployment = deploymentForStorm();
+    const BootClock clock;
+    BookingStorm storm(*deployment, seed + 3, 8, customer);
+    storm.start();
+    pause(Milliseconds(1'500));
+    const std::string drained = "booking-cuyo-a-1";
+    const auto answer = command(*deployment, "cuyo-a-1", "drain target " + drained);
+    const TimePoint drainedAt = clock.now();
+    for (const std::string &crashed : { std::string("booking-cuyo-a-2"), drained }) {
+        expect([&] {
+            return deployment->targetControl("/control/set?target=" + crashed + "&down=1");
+        });
+        pause(Milliseconds(2'000));
+        expect([&] {
+            return deployment->targetControl("/control/set?target=" + crashed + "&down=0");
+        });
+    }
+    pause(Milliseconds(2'000));
+    storm.stop();
+    std::size_t late = 0;
+    for (const LedgerEntry &entry : readLedger(*deployment)) {
+        late += entry.target == drained && entry.startedAt > drainedAt + drainTime ? 1 : 0;
+    }
+    std::cout << "drain and crash: command " << outcomeOf(answer) << ", starts at the drained target later than "
+              << drainTime.count() << " ms after it " << late << std::endl;
+    CHECK(late == 0);
+    checkAndPrint("drain and target crash", *deployment, storm);
+}
