LibTarget: See a target's death behind one more accepted connection

Cause: after the lost connection one probe asks whether the target refuses. What stands before a dead target (here the fault proxy's link) accepts one connection before it notices that the target refuses, and then resets it; the probe took this for a living target, so the first death was not recorded. Ruled out: a wrong count of requests in flight (the death that was recorded had one request, alone). Now a probe that is accepted waits 20 ms for its end; if it was ended, another one is sent, three at most, and only a refusal counts as a death.

--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Sapphire {
 
@@ -18,6 +19,9 @@
 // Observers, restarted VMs and connections that are being closed take the rest of a target's limit.
 constexpr double usableConnectionShare = 0.8;
 constexpr Milliseconds probeTimeout { 100 };
+constexpr int mostDeathProbes = 3;
+// A connection that lives longer than this was accepted by the target itself.
+constexpr Milliseconds probeEndWait { 20 };
 constexpr Milliseconds longestWaitSlice { 20 };
 constexpr Milliseconds reportLifetime { 10'000 };
 constexpr int firstServerError = 500;
@@ -288,13 +292,33 @@
     return AttemptOutcome::Nothing;
 }
 
+bool ServiceTargets::refusesConnections(const Poco::Net::SocketAddress &address) const
+{
+    // What stands before a dead target may accept one more connection, and resets it once it has been refused itself.
+    for (int probes = 0; probes < mostDeathProbes; ++probes) {
+        const WaitLimit connectLimit { Deadline::after(m_clock.now(), probeTimeout) };
+        const auto probe = capture([&] {
+            return TargetConnection::create(address, m_clock, connectLimit);
+        });
+        if (!probe) {
+            return probe.error().code == ErrorCode::Unavailable;
+        }
+        const WaitLimit endLimit { Deadline::after(m_clock.now(), probeEndWait) };
+        std::array<char, 1> buffer {};
+        const auto end = capture([&] {
+            return probe.value()->receive(buffer, endLimit);
+        });
+        const bool hasEnded = end ? end.value() == 0 : end.error().code == ErrorCode::Unavailable;
+        if (!hasEnded) {
+            return false;
+        }
+    }
+    return false;
+}
+
 void ServiceTargets::checkDeath(Service &service, const Choice &choice)
 {
-    const WaitLimit limit { Deadline::after(m_clock.now(), probeTimeout) };
-    const auto probe = capture([&] {
-        return TargetConnection::create(choice.target->pool().address(), m_clock, limit);
-    });
-    if (probe || probe.error().code != ErrorCode::Unavailable) {
+    if (!refusesConnections(choice.target->pool().address())) {
         return;
     }
     // This request is still counted as in flight, and so are others whose end was not seen yet.
--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -108,6 +108,8 @@
     void noteEnd(Service &service, const Choice &choice, const AttemptReport &report);
     AttemptOutcome outcomeOf(const Service &service, const AttemptReport &report, const TargetId &target) const;
     void checkDeath(Service &service, const Choice &choice);
+    /// Returns whether the target refuses connections. Takes some time if it does not.
+    bool refusesConnections(const Poco::Net::SocketAddress &address) const;
     static bool mayTryAgain(const RequestHead &head, const AttemptReport &report, const ReplayableBody &body);
     static Refusal refusalOf(const Selection &selection);
 
