--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -113,6 +113,8 @@
     /// Returns after how long without an answer a target counts as silent. The service's mutex must be held.
     static Microseconds enoughSilence(const Service &service, const TargetId &target);
     void checkDeath(Service &service, const Choice &choice);
+    /// Returns whether the target refuses connections. Takes some time if it does not.
+    bool refusesConnections(const Poco::Net::SocketAddress &address) const;
     static bool mayTryAgain(const RequestHead &head, const AttemptReport &report, const ReplayableBody &body);
     static Refusal refusalOf(const Selection &selection);
 
