SapphireSlopes: Measure how costs grow with the size of a deployment

docs/CAPACITY.md is to derive the cost of a node at 730 nodes and 160,000 client blocks from measured slopes, and nothing measured them again. The program measures groups of quantities at four sizes or more, in this process or in running fleets on the stand-ins, fits a line, and prints the points, the extrapolated value and the ceiling as a table or as JSON.

--- /dev/null
+++ b/Utilities/SapphireSlopes/DiscardingTables.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibPlatform/TableService.h>
+
+namespace Sapphire {
+
+/// A table service that takes every write and keeps nothing, so that its memory doesn't count.
+class DiscardingTables final : public TableService
+{
+public:
+    Result<Row> read(const TableName &, const std::string &key, Deadline) override
+    {
+        return fail(ErrorCode::NotFound, "no row " + key);
+    }
+    Result<std::vector<Row>> list(const TableName &, const std::string &, std::size_t, Deadline) override
+    {
+        return std::vector<Row> {};
+    }
+    Result<RowTag> insert(const TableName &, const std::string &, const std::string &, Deadline) override
+    {
+        return RowTag("\"1\"");
+    }
+    Result<RowTag> replace(const TableName &, const std::string &, const std::string &, const RowTag &,
+                           Deadline) override
+    {
+        return RowTag("\"1\"");
+    }
+    Result<void> remove(const TableName &, const std::string &, const RowTag &, Deadline) override
+    {
+        return {};
+    }
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphireSlopes/FleetSlopes.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <SapphireSlopes/SlopeGroup.h>
+
+namespace Sapphire {
+
+/// Gossip, membership and whole look-ups in a simulated fleet, against its nodes.
+class FleetSlopes final : public SlopeGroup
+{
+public:
+    std::string name() const override
+    {
+        return "fleet";
+    }
+    Result<std::vector<Slope>> measure() override;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphireSlopes/ProcessSlopes.cpp
@@ -0,0 +1,174 @@
+#include <SapphireSlopes/ProcessSlopes.h>
+
+#include <SapphireSlopes/RunningFleet.h>
+#include <SapphireSlopes/TargetSize.h>
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace Sapphire {
+
+namespace {
+
+/// The slopes that every group of running fleets has.
+class CostSlopes
+{
+public:
+    CostSlopes(const std::string &condition, const std::string &size, double target)
+        : m_core({ condition + ": processor of a VM", "% of a core", size, target, TargetSize::controlCorePercent })
+        , m_mostCore({ condition + ": processor of the VM with most", "% of a core", size, target,
+                       TargetSize::controlCorePercent })
+        , m_resident({ condition + ": resident memory of a VM", "MB", size, target, TargetSize::controlMegabytes })
+        , m_fleetBytes(
+              { condition + ": bytes of a VM between zones", "B/s", size, target, TargetSize::controlBytesPerSecond })
+        , m_storeBytes({ condition + ": bytes between a VM and the platform", "B/s", size, target,
+                         TargetSize::controlBytesPerSecond })
+        , m_reads({ condition + ": reads at the platform", "1/s", size, target, TargetSize::platformReadsPerSecond })
+        , m_writes({ condition + ": writes at the platform", "1/s", size, target, TargetSize::platformWritesPerSecond })
+    {
+    }
+
+    void add(double size, const FleetCost &cost)
+    {
+        m_core.add(size, cost.corePercent);
+        m_mostCore.add(size, cost.mostCorePercent);
+        m_resident.add(size, cost.residentMegabytes);
+        m_fleetBytes.add(size, cost.fleetBytes);
+        m_storeBytes.add(size, cost.storeBytes);
+        m_reads.add(size, cost.reads);
+        m_writes.add(size, cost.writes);
+    }
+
+    std::vector<Slope> slopes() const
+    {
+        return { m_core, m_mostCore, m_resident, m_fleetBytes, m_storeBytes, m_reads, m_writes };
+    }
+
+private:
+    Slope m_core;
+    Slope m_mostCore;
+    Slope m_resident;
+    Slope m_fleetBytes;
+    Slope m_storeBytes;
+    Slope m_reads;
+    Slope m_writes;
+};
+
+void append(std::vector<Slope> &slopes, const std::vector<Slope> &more)
+{
+    slopes.insert(slopes.end(), more.begin(), more.end());
+}
+
+void note(const ChangeCost &changes, double size)
+{
+    std::cerr << "changes at size " << size << ": " << changes.inForce << " in force, " << changes.others
+              << " with another outcome\n";
+}
+
+/// Pulls of a VM a second: those of its ring, of the other zone in one of the regions, and of two other regions.
+double pullsOf(const FleetShape &shape)
+{
+    constexpr int ringPeers = 3;
+    constexpr double otherZonesAndRegions = 2.5;
+    return std::min(ringPeers, shape.vms / 4 - 1) + otherZonesAndRegions;
+}
+
+Result<std::vector<Slope>> restSlopes(const std::vector<std::pair<double, FleetShape>> &shapes, const std::string &size,
+                                      double target, Milliseconds interval)
+{
+    CostSlopes resting("at rest", size, target);
+    for (const auto &[x, shape] : shapes) {
+        BOOST_LEAF_AUTO(fleet, RunningFleet::create(shape));
+        BOOST_LEAF_AUTO(cost, fleet->rest(interval));
+        resting.add(x, cost);
+    }
+    return resting.slopes();
+}
+
+} // namespace
+
+NodeSlopes::NodeSlopes(std::vector<int> sizes, ProcessIntervals intervals)
+    : m_sizes(std::move(sizes)), m_intervals(intervals)
+{
+}
+
+Result<std::vector<Slope>> NodeSlopes::measure()
+{
+    const std::string nodes = "nodes";
+    // Three VMs of the ring, one in each of three other zones and in each of four other regions.
+    constexpr double pullsAtTarget = 10;
+    CostSlopes resting("at rest", nodes, TargetSize::nodes);
+    CostSlopes changing("under changes", nodes, TargetSize::nodes);
+    Slope coreOfPulls({ "at rest: processor of a VM", "% of a core", "pulls by a VM a second", pullsAtTarget,
+                        TargetSize::controlCorePercent });
+    Slope median({ "change in force, median", "ms", nodes, TargetSize::nodes, TargetSize::spreadMilliseconds });
+    Slope worst({ "change in force, worst", "ms", nodes, TargetSize::nodes, TargetSize::spreadMilliseconds });
+    Slope startReads({ "start: reads at the platform", "reads", nodes, TargetSize::nodes });
+    Slope startWrites({ "start: writes at the platform", "writes", nodes, TargetSize::nodes });
+    Slope startTime({ "start: until the VM serves", "ms", nodes, TargetSize::nodes });
+    for (const int size : m_sizes) {
+        const FleetShape shape { size };
+        const double x = size;
+        BOOST_LEAF_AUTO(fleet, RunningFleet::create(shape));
+        BOOST_LEAF_AUTO(rest, fleet->rest(m_intervals.rest));
+        resting.add(x, rest);
+        coreOfPulls.add(pullsOf(shape), rest.corePercent);
+        BOOST_LEAF_AUTO(changes, fleet->change(m_intervals.changesPerSecond, m_intervals.change));
+        note(changes, x);
+        changing.add(x, changes.cost);
+        median.add(x, changes.medianMilliseconds);
+        worst.add(x, changes.worstMilliseconds);
+        BOOST_LEAF_AUTO(start, fleet->restart(rest));
+        startReads.add(x, start.reads);
+        startWrites.add(x, start.writes);
+        startTime.add(x, start.milliseconds);
+    }
+    std::vector<Slope> slopes = resting.slopes();
+    slopes.push_back(coreOfPulls);
+    append(slopes, changing.slopes());
+    append(slopes, { median, worst, startReads, startWrites, startTime });
+    return slopes;
+}
+
+Result<std::vector<Slope>> ChangeSlopes::measure()
+{
+    constexpr double rates[] { 1, 2, 4, 8 };
+    const std::string size = "changes a second";
+    CostSlopes changing("12 VMs", size, TargetSize::changesPerSecond);
+    Slope median(
+        { "change in force, median", "ms", size, TargetSize::changesPerSecond, TargetSize::spreadMilliseconds });
+    Slope worst({ "change in force, worst", "ms", size, TargetSize::changesPerSecond, TargetSize::spreadMilliseconds });
+    BOOST_LEAF_AUTO(fleet, RunningFleet::create({}));
+    for (const double rate : rates) {
+        BOOST_LEAF_AUTO(changes, fleet->change(rate, m_intervals.change));
+        note(changes, rate);
+        changing.add(rate, changes.cost);
+        median.add(rate, changes.medianMilliseconds);
+        worst.add(rate, changes.worstMilliseconds);
+    }
+    std::vector<Slope> slopes = changing.slopes();
+    append(slopes, { median, worst });
+    return slopes;
+}
+
+Result<std::vector<Slope>> SiteSlopes::measure()
+{
+    std::vector<std::pair<double, FleetShape>> shapes;
+    for (const int perZone : { 2, 4, 8, 16 }) {
+        const FleetShape shape { .targetsPerZone = perZone };
+        shapes.emplace_back(shape.targets(), shape);
+    }
+    return restSlopes(shapes, "sites", TargetSize::sites, m_intervals.rest);
+}
+
+Result<std::vector<Slope>> CustomerSlopes::measure()
+{
+    std::vector<std::pair<double, FleetShape>> shapes;
+    for (const int customers : { 8, 24, 48, 96 }) {
+        shapes.emplace_back(customers, FleetShape { .customers = customers });
+    }
+    return restSlopes(shapes, "customers", TargetSize::customers, m_intervals.rest);
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphireSlopes/RunningFleet.cpp
@@ -0,0 +1,186 @@
+#include <SapphireSlopes/RunningFleet.h>
+
+#include <Harness/WaitFor.h>
+#include <LibCore/BootClock.h>
+#include <LibOperator/OperatorClient.h>
+#include <SapphireSlopes/ProcessUsage.h>
+#include <SapphireSlopes/TargetSize.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr double microsecondsPerMillisecond = 1'000;
+constexpr double percent = 100;
+constexpr Milliseconds settleTime { 8'000 };
+constexpr Milliseconds startLimit { 20'000 };
+
+std::string planText(const FleetShape &shape)
+{
+    const std::string vms = std::to_string(shape.vms / 4);
+    std::ostringstream text;
+    text
+        << R"({"name":"slopes","regions":[{"name":"cuyo","fallbacks":["pampa","norte"],"zones":[{"name":"cuyo-a","vms":)"
+        << vms << R"(},{"name":"cuyo-b","vms":)" << vms
+        << R"(}]},{"name":"pampa","fallbacks":["norte","cuyo"],"zones":[{"name":"pampa-a","vms":)" << vms
+        << R"(}]},{"name":"norte","fallbacks":["pampa","cuyo"],"zones":[{"name":"norte-a","vms":)" << vms
+        << R"(}]}],"storeRegion":"cuyo","network":{},"services":[{"name":"status","access":"keyed","targetsPerZone":)"
+        << shape.targetsPerZone << R"(,"slots":6,"connections":800,"serviceMicroseconds":5000}],"customers":[)";
+    for (int i = 0; i < shape.customers; ++i) {
+        text << (i > 0 ? "," : "") << R"({"name":"customer-)" << i << R"(","rate":50,"burst":20})";
+    }
+    text << "]}";
+    return text.str();
+}
+
+} // namespace
+
+struct RunningFleet::Sample
+{
+    TimePoint at {};
+    std::vector<ProcessUsage> vms {};
+    PlatformCounters platform {};
+    double fleetBytes { 0 };
+    double storeBytes { 0 };
+};
+
+Result<std::unique_ptr<RunningFleet>> RunningFleet::create(const FleetShape &shape)
+{
+    BOOST_LEAF_AUTO(folder, ScratchFolder::create("sapphire-slopes-plan"));
+    BOOST_LEAF_AUTO(file, folder->write("plan.json", planText(shape)));
+    BOOST_LEAF_AUTO(plan, DeploymentPlan::load(file.string()));
+    std::unique_ptr<RunningFleet> fleet(new RunningFleet());
+    fleet->m_shape = shape;
+    BOOST_LEAF_ASSIGN(fleet->m_deployment, Deployment::create(plan, {}));
+    std::this_thread::sleep_for(settleTime);
+    return fleet;
+}
+
+Result<RunningFleet::Sample> RunningFleet::sample()
+{
+    Sample sample;
+    sample.at = BootClock().now();
+    for (const DeployedVm &vm : m_deployment->vms()) {
+        sample.vms.push_back(ProcessUsage::of(vm.process->id()));
+    }
+    BOOST_LEAF_ASSIGN(sample.platform, m_deployment->platform().counters());
+    BOOST_LEAF_AUTO(links, m_deployment->proxy().counters());
+    for (const LinkCounters &link : links) {
+        const auto bytes = static_cast<double>(link.bytes.toServer + link.bytes.toClient);
+        if (link.name.rfind("fleet:", 0) == 0) {
+            sample.fleetBytes += bytes;
+        } else if (link.name.rfind("store:", 0) == 0) {
+            sample.storeBytes += bytes;
+        }
+    }
+    return sample;
+}
+
+FleetCost RunningFleet::difference(const Sample &before, const Sample &after)
+{
+    FleetCost cost;
+    const double seconds = std::chrono::duration<double>(after.at - before.at).count();
+    const auto vms = static_cast<double>(after.vms.size());
+    for (std::size_t i = 0; i < after.vms.size(); ++i) {
+        const double used = (after.vms[i].processorSeconds - before.vms[i].processorSeconds) / seconds * percent;
+        cost.corePercent += used / vms;
+        cost.mostCorePercent = std::max(cost.mostCorePercent, used);
+        cost.residentMegabytes += after.vms[i].residentBytes / TargetSize::megabyte / vms;
+    }
+    // Each byte between two VMs is sent by one and received by the other.
+    cost.fleetBytes = 2 * (after.fleetBytes - before.fleetBytes) / seconds / vms;
+    cost.storeBytes = (after.storeBytes - before.storeBytes) / seconds / vms;
+    cost.reads = static_cast<double>(after.platform.reads - before.platform.reads) / seconds;
+    cost.writes = static_cast<double>(after.platform.writes - before.platform.writes) / seconds;
+    return cost;
+}
+
+Result<FleetCost> RunningFleet::rest(Milliseconds interval)
+{
+    BOOST_LEAF_AUTO(before, sample());
+    std::this_thread::sleep_for(interval);
+    BOOST_LEAF_AUTO(after, sample());
+    return difference(before, after);
+}
+
+Result<ChangeCost> RunningFleet::change(double changesPerSecond, Milliseconds interval)
+{
+    BOOST_LEAF_AUTO(before, sample());
+    const BootClock clock;
+    const TimePoint begin = clock.now();
+    const int total = static_cast<int>(changesPerSecond * std::chrono::duration<double>(interval).count());
+    // Enough senders that none is late although a change may take seconds to be in force.
+    const int senders = static_cast<int>(std::ceil(changesPerSecond * 8)) + 2;
+    const int first = m_nextChange;
+    m_nextChange += total;
+    std::atomic<int> next { 0 };
+    std::mutex mutex;
+    std::vector<double> times;
+    ChangeCost result;
+    const auto send = [&] {
+        for (int i = next++; i < total; i = next++) {
+            const auto offset = std::chrono::duration<double>(i / changesPerSecond);
+            const TimePoint due = begin + std::chrono::duration_cast<Microseconds>(offset);
+            std::this_thread::sleep_for(Deadline(due).remaining(clock.now()));
+            const std::vector<DeployedVm> &vms = m_deployment->vms();
+            const OperatorClient client({ { vms[static_cast<std::size_t>(i) % vms.size()].operatorAddress },
+                                          m_deployment->operatorToken(),
+                                          "ana" });
+            const std::string number = std::to_string(first + i);
+            const std::string text = "set customer customer-" + std::to_string(i % m_shape.customers) + " rate "
+                + std::to_string(50 + i % 7) + " burst 20";
+            const TimePoint sentAt = clock.now();
+            const Outcome<std::string> answer = capture([&] {
+                return client.send(text, "slopes-" + number);
+            });
+            const double taken = static_cast<double>((clock.now() - sentAt).count()) / microsecondsPerMillisecond;
+            const bool isInForce = answer && answer.value().find("\"outcome\":\"in-force\"") != std::string::npos;
+            const std::lock_guard guard(mutex);
+            (isInForce ? result.inForce : result.others) += 1;
+            times.push_back(taken);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < senders; ++i) {
+        threads.emplace_back(send);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    BOOST_LEAF_AUTO(after, sample());
+    result.cost = difference(before, after);
+    std::sort(times.begin(), times.end());
+    result.medianMilliseconds = times.empty() ? 0 : times[times.size() / 2];
+    result.worstMilliseconds = times.empty() ? 0 : times.back();
+    return result;
+}
+
+Result<StartCost> RunningFleet::restart(const FleetCost &resting)
+{
+    DeployedVm &vm = m_deployment->vms().back();
+    vm.process->kill();
+    const BootClock clock;
+    BOOST_LEAF_AUTO(before, m_deployment->platform().counters());
+    const TimePoint begin = clock.now();
+    BOOST_LEAF_CHECK(m_deployment->startVm(vm.vm.text()));
+    BOOST_LEAF_CHECK(m_deployment->waitUntilServing(vm.vm.text(), after(startLimit)));
+    const Microseconds taken = clock.now() - begin;
+    BOOST_LEAF_AUTO(counters, m_deployment->platform().counters());
+    const double seconds = std::chrono::duration<double>(taken).count();
+    const auto vms = static_cast<double>(m_deployment->vms().size());
+    const double others = (vms - 1) / vms * seconds;
+    StartCost cost;
+    cost.reads = static_cast<double>(counters.reads - before.reads) - resting.reads * others;
+    cost.writes = static_cast<double>(counters.writes - before.writes) - resting.writes * others;
+    cost.milliseconds = static_cast<double>(taken.count()) / microsecondsPerMillisecond;
+    return cost;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphireSlopes/RunningFleet.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <Deployment/Deployment.h>
+
+#include <memory>
+
+namespace Sapphire {
+
+/// The size of a deployment in three regions with four availability zones.
+struct FleetShape
+{
+    int vms { 12 }; ///< A multiple of four.
+    int targetsPerZone { 2 }; ///< Of one service.
+    int customers { 8 };
+
+    int targets() const
+    {
+        constexpr int zones = 4;
+        return targetsPerZone * zones;
+    }
+};
+
+/// What a running fleet costs. Rates are per second; values of a VM are means over the VMs.
+struct FleetCost
+{
+    double corePercent { 0 }; ///< Of a VM.
+    double mostCorePercent { 0 }; ///< Of the VM with most.
+    double residentMegabytes { 0 }; ///< Of a VM.
+    double fleetBytes { 0 }; ///< Sent and received by a VM in calls between zones.
+    double storeBytes { 0 }; ///< Exchanged by a VM with the platform.
+    double reads { 0 }; ///< Of all VMs at the platform.
+    double writes { 0 }; ///< Of all VMs at the platform.
+};
+
+/// How long changes took from being sent to being in force.
+struct ChangeCost
+{
+    FleetCost cost;
+    double medianMilliseconds { 0 };
+    double worstMilliseconds { 0 };
+    int inForce { 0 };
+    int others { 0 }; ///< Changes with another outcome.
+};
+
+struct StartCost
+{
+    double reads { 0 }; ///< At the platform, beyond those of the other VMs.
+    double writes { 0 };
+    double milliseconds { 0 }; ///< Until the VM serves.
+};
+
+/// A deployment of daemons on stand-ins, without delays of the network, and what it costs.
+class RunningFleet
+{
+public:
+    [[nodiscard]] static Result<std::unique_ptr<RunningFleet>> create(const FleetShape &shape);
+
+    /// Measures the fleet without requests and changes.
+    [[nodiscard]] Result<FleetCost> rest(Milliseconds interval);
+    /// Measures the fleet under changes of customers that arrive at different VMs.
+    [[nodiscard]] Result<ChangeCost> change(double changesPerSecond, Milliseconds interval);
+    /// Kills the last VM and starts it again; `resting` is the cost of the fleet at rest.
+    [[nodiscard]] Result<StartCost> restart(const FleetCost &resting);
+
+private:
+    struct Sample;
+
+    RunningFleet() = default;
+
+    [[nodiscard]] Result<Sample> sample();
+    static FleetCost difference(const Sample &before, const Sample &after);
+
+    std::unique_ptr<Deployment> m_deployment;
+    FleetShape m_shape;
+    int m_nextChange { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphireSlopes/SlopeReport.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <SapphireSlopes/Slope.h>
+
+#include <string>
+#include <vector>
+
+namespace Sapphire {
+
+/// The slopes of one group with the load of the machine while they were measured.
+struct SlopeReport
+{
+    std::string group;
+    double loadBefore { 0 }; ///< Mean number of runnable processes in the minute before.
+    double loadAfter { 0 };
+    std::vector<Slope> slopes {};
+
+    /// Returns a table, a line a slope.
+    std::string text() const;
+    std::string json() const;
+};
+
+} // namespace Sapphire
