SapphireSlopes: Measure look-ups of a running VM

The in-process look-up leaves out HTTP. The group lookup-rate sends look-ups on connections of their own to one VM of a running fleet and measures that VM's processor time against the look-ups a second. The senders of changes and look-ups share one class.

--- a/Utilities/SapphireSlopes/ProcessSlopes.cpp
+++ b/Utilities/SapphireSlopes/ProcessSlopes.cpp
@@ -152,6 +152,27 @@
     return slopes;
 }
 
+Result<std::vector<Slope>> LookUpRateSlopes::measure()
+{
+    constexpr double rates[] { 70, 140, 280, 550 };
+    constexpr double wholeCore = 100;
+    const std::string size = "look-ups a second";
+    const double target = TargetSize::lookUpsPerSecond;
+    Slope core({ "12 VMs: processor of the VM that answers", "% of a core", size, target, wholeCore });
+    Slope median({ "look-up on a new connection, median", "ms", size, target });
+    Slope late({ "look-up on a new connection, 99th percentile", "ms", size, target });
+    BOOST_LEAF_AUTO(fleet, RunningFleet::create({}));
+    for (const double rate : rates) {
+        BOOST_LEAF_AUTO(cost, fleet->lookUp(rate, m_intervals.rest));
+        std::cerr << "look-ups at " << rate << " a second: " << cost.perSecond << " answered, " << cost.failed
+                  << " failed\n";
+        core.add(cost.perSecond, cost.corePercent);
+        median.add(cost.perSecond, cost.medianMilliseconds);
+        late.add(cost.perSecond, cost.ninetyNinthMilliseconds);
+    }
+    return std::vector<Slope> { core, median, late };
+}
+
 Result<std::vector<Slope>> SiteSlopes::measure()
 {
     std::vector<std::pair<double, FleetShape>> shapes;
--- a/Utilities/SapphireSlopes/ProcessSlopes.h
+++ b/Utilities/SapphireSlopes/ProcessSlopes.h
@@ -48,6 +48,24 @@
     ProcessIntervals m_intervals;
 };
 
+/// A VM of a running fleet of 12 against the look-ups a second that it answers.
+class LookUpRateSlopes final : public SlopeGroup
+{
+public:
+    explicit LookUpRateSlopes(ProcessIntervals intervals) : m_intervals(intervals)
+    {
+    }
+
+    std::string name() const override
+    {
+        return "lookup-rate";
+    }
+    Result<std::vector<Slope>> measure() override;
+
+private:
+    ProcessIntervals m_intervals;
+};
+
 /// Running fleets of 12 VMs at rest against their targets.
 class SiteSlopes final : public SlopeGroup
 {
--- a/Utilities/SapphireSlopes/RunningFleet.cpp
+++ b/Utilities/SapphireSlopes/RunningFleet.cpp
@@ -3,11 +3,11 @@
 #include <Harness/WaitFor.h>
 #include <LibCore/BootClock.h>
 #include <LibOperator/OperatorClient.h>
+#include <SapphireSlopes/PacedSenders.h>
 #include <SapphireSlopes/ProcessUsage.h>
 #include <SapphireSlopes/TargetSize.h>
 
 #include <algorithm>
-#include <atomic>
 #include <cmath>
 #include <mutex>
 #include <sstream>
@@ -19,6 +19,7 @@
 
 constexpr double microsecondsPerMillisecond = 1'000;
 constexpr double percent = 100;
+constexpr double median = 0.5;
 constexpr Milliseconds settleTime { 8'000 };
 constexpr Milliseconds startLimit { 20'000 };
 
@@ -40,6 +41,22 @@
     return text.str();
 }
 
+double milliseconds(Microseconds time)
+{
+    return static_cast<double>(time.count()) / microsecondsPerMillisecond;
+}
+
+/// Returns the value that the given part of the values doesn't exceed; 0 if there are none.
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size()));
+    return values[std::min(index, values.size() - 1)];
+}
+
 } // namespace
 
 struct RunningFleet::Sample
@@ -110,58 +127,85 @@
     return difference(before, after);
 }
 
+Outcome<std::string> RunningFleet::sendChange(int number, std::size_t vm) const
+{
+    constexpr int rates = 7;
+    const std::string address = m_deployment->vms()[vm % m_deployment->vms().size()].operatorAddress;
+    const OperatorClient client({ { address }, m_deployment->operatorToken(), "ana" });
+    const std::string text = "set customer customer-" + std::to_string(number % m_shape.customers) + " rate "
+        + std::to_string(50 + number % rates) + " burst 20";
+    return capture([&] {
+        return client.send(text, "slopes-" + std::to_string(number));
+    });
+}
+
 Result<ChangeCost> RunningFleet::change(double changesPerSecond, Milliseconds interval)
 {
-    BOOST_LEAF_AUTO(before, sample());
-    const BootClock clock;
-    const TimePoint begin = clock.now();
+    constexpr double secondsToBeInForce = 8;
     const int total = static_cast<int>(changesPerSecond * std::chrono::duration<double>(interval).count());
-    // Enough senders that none is late although a change may take seconds to be in force.
-    const int senders = static_cast<int>(std::ceil(changesPerSecond * 8)) + 2;
+    const int threads = static_cast<int>(std::ceil(changesPerSecond * secondsToBeInForce)) + 2;
     const int first = m_nextChange;
     m_nextChange += total;
-    std::atomic<int> next { 0 };
+    const BootClock clock;
     std::mutex mutex;
     std::vector<double> times;
     ChangeCost result;
-    const auto send = [&] {
-        for (int i = next++; i < total; i = next++) {
-            const auto offset = std::chrono::duration<double>(i / changesPerSecond);
-            const TimePoint due = begin + std::chrono::duration_cast<Microseconds>(offset);
-            std::this_thread::sleep_for(Deadline(due).remaining(clock.now()));
-            const std::vector<DeployedVm> &vms = m_deployment->vms();
-            const OperatorClient client({ { vms[static_cast<std::size_t>(i) % vms.size()].operatorAddress },
-                                          m_deployment->operatorToken(),
-                                          "ana" });
-            const std::string number = std::to_string(first + i);
-            const std::string text = "set customer customer-" + std::to_string(i % m_shape.customers) + " rate "
-                + std::to_string(50 + i % 7) + " burst 20";
-            const TimePoint sentAt = clock.now();
-            const Outcome<std::string> answer = capture([&] {
-                return client.send(text, "slopes-" + number);
-            });
-            const double taken = static_cast<double>((clock.now() - sentAt).count()) / microsecondsPerMillisecond;
-            const bool isInForce = answer && answer.value().find("\"outcome\":\"in-force\"") != std::string::npos;
-            const std::lock_guard guard(mutex);
-            (isInForce ? result.inForce : result.others) += 1;
-            times.push_back(taken);
-        }
-    };
-    std::vector<std::thread> threads;
-    for (int i = 0; i < senders; ++i) {
-        threads.emplace_back(send);
-    }
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
+    BOOST_LEAF_AUTO(before, sample());
+    PacedSenders { changesPerSecond, threads }.run(total, [&](int i) {
+        const TimePoint sentAt = clock.now();
+        const Outcome<std::string> answer = sendChange(first + i, static_cast<std::size_t>(i));
+        const double taken = milliseconds(clock.now() - sentAt);
+        const bool isInForce = answer && answer.value().find("\"outcome\":\"in-force\"") != std::string::npos;
+        const std::lock_guard guard(mutex);
+        ++(isInForce ? result.inForce : result.others);
+        times.push_back(taken);
+    });
     BOOST_LEAF_AUTO(after, sample());
     result.cost = difference(before, after);
-    std::sort(times.begin(), times.end());
-    result.medianMilliseconds = times.empty() ? 0 : times[times.size() / 2];
-    result.worstMilliseconds = times.empty() ? 0 : times.back();
+    result.medianMilliseconds = quantile(times, median);
+    result.worstMilliseconds = quantile(times, 1);
     return result;
 }
 
+Result<LookUpCost> RunningFleet::lookUp(double lookUpsPerSecond, Milliseconds interval)
+{
+    constexpr int threads = 8;
+    constexpr double ninetyNinth = 0.99;
+    const DeployedVm &vm = m_deployment->vms().front();
+    const std::string authorization = "Bearer " + m_deployment->key("customer-0");
+    const HttpCall call { "GET",
+                          "http://" + vm.callerAddress + "/v1/lookup",
+                          { { "Authorization", authorization }, { "Connection", "close" } },
+                          "" };
+    const int total = static_cast<int>(lookUpsPerSecond * std::chrono::duration<double>(interval).count());
+    const BootClock clock;
+    std::mutex mutex;
+    std::vector<double> times;
+    LookUpCost cost;
+    const ProcessUsage before = ProcessUsage::of(vm.process->id());
+    const TimePoint begin = clock.now();
+    PacedSenders { lookUpsPerSecond, threads }.run(total, [&](int) {
+        const TimePoint sentAt = clock.now();
+        const Outcome<HttpAnswer> answer = capture([&] {
+            return call.run();
+        });
+        const double taken = milliseconds(clock.now() - sentAt);
+        const std::lock_guard guard(mutex);
+        if (answer && answer.value().status == 200) {
+            times.push_back(taken);
+        } else {
+            ++cost.failed;
+        }
+    });
+    const double seconds = std::chrono::duration<double>(clock.now() - begin).count();
+    const ProcessUsage after = ProcessUsage::of(vm.process->id());
+    cost.corePercent = (after.processorSeconds - before.processorSeconds) / seconds * percent;
+    cost.perSecond = static_cast<double>(times.size()) / seconds;
+    cost.medianMilliseconds = quantile(times, median);
+    cost.ninetyNinthMilliseconds = quantile(times, ninetyNinth);
+    return cost;
+}
+
 Result<StartCost> RunningFleet::restart(const FleetCost &resting)
 {
     DeployedVm &vm = m_deployment->vms().back();
@@ -179,7 +223,7 @@
     StartCost cost;
     cost.reads = static_cast<double>(counters.reads - before.reads) - resting.reads * others;
     cost.writes = static_cast<double>(counters.writes - before.writes) - resting.writes * others;
-    cost.milliseconds = static_cast<double>(taken.count()) / microsecondsPerMillisecond;
+    cost.milliseconds = milliseconds(taken);
     return cost;
 }
 
--- a/Utilities/SapphireSlopes/RunningFleet.h
+++ b/Utilities/SapphireSlopes/RunningFleet.h
@@ -42,6 +42,16 @@
     int others { 0 }; ///< Changes with another outcome.
 };
 
+/// What look-ups cost the VM that answers them.
+struct LookUpCost
+{
+    double corePercent { 0 };
+    double perSecond { 0 }; ///< Look-ups that were answered.
+    double medianMilliseconds { 0 };
+    double ninetyNinthMilliseconds { 0 };
+    int failed { 0 };
+};
+
 struct StartCost
 {
     double reads { 0 }; ///< At the platform, beyond those of the other VMs.
@@ -59,6 +69,8 @@
     [[nodiscard]] Result<FleetCost> rest(Milliseconds interval);
     /// Measures the fleet under changes of customers that arrive at different VMs.
     [[nodiscard]] Result<ChangeCost> change(double changesPerSecond, Milliseconds interval);
+    /// Sends look-ups to the first VM, each on a connection of its own.
+    [[nodiscard]] Result<LookUpCost> lookUp(double lookUpsPerSecond, Milliseconds interval);
     /// Kills the last VM and starts it again; `resting` is the cost of the fleet at rest.
     [[nodiscard]] Result<StartCost> restart(const FleetCost &resting);
 
@@ -68,6 +80,7 @@
     RunningFleet() = default;
 
     [[nodiscard]] Result<Sample> sample();
+    Outcome<std::string> sendChange(int number, std::size_t vm) const;
     static FleetCost difference(const Sample &before, const Sample &after);
 
     std::unique_ptr<Deployment> m_deployment;
--- a/Utilities/SapphireSlopes/main.cpp
+++ b/Utilities/SapphireSlopes/main.cpp
@@ -13,8 +13,9 @@
 #include <memory>
 #include <sstream>
 
-DEFINE_string(groups, "blocks,lookup,vm-list,fleet,limiter,targets,ledger",
-              "groups of slopes, in order; also nodes, changes, sites and customers, which start running fleets");
+DEFINE_string(
+    groups, "blocks,lookup,vm-list,fleet,limiter,targets,ledger",
+    "groups of slopes, in order; also nodes, changes, lookup-rate, sites and customers, which start running fleets");
 DEFINE_string(output, "text", "text or json");
 DEFINE_string(nodes, "4,8,12,16,20", "sizes of the running fleets, multiples of 4");
 DEFINE_int32(rest_seconds, 20, "how long a running fleet is measured at rest");
@@ -68,6 +69,7 @@
     all.push_back(std::make_unique<LedgerSlopes>());
     all.push_back(std::make_unique<NodeSlopes>(sizes, intervals));
     all.push_back(std::make_unique<ChangeSlopes>(intervals));
+    all.push_back(std::make_unique<LookUpRateSlopes>(intervals));
     all.push_back(std::make_unique<SiteSlopes>(intervals));
     all.push_back(std::make_unique<CustomerSlopes>(intervals));
     std::vector<std::unique_ptr<SlopeGroup>> chosen;
