--- a/Utilities/SapphireSlopes/ProcessSlopes.cpp
+++ b/Utilities/SapphireSlopes/ProcessSlopes.cpp
@@ -165,7 +165,7 @@
     for (const double rate : rates) {
         BOOST_LEAF_AUTO(cost, fleet->lookUp(rate, m_intervals.rest));
         std::cerr << "look-ups at " << rate << " a second: " << cost.perSecond << " answered, " << cost.failed
-                  << " failed\n";
+                  << " failed " << cost.lastFailure << '\n';
         core.add(cost.perSecond, cost.corePercent);
         median.add(cost.perSecond, cost.medianMilliseconds);
         late.add(cost.perSecond, cost.ninetyNinthMilliseconds);
--- a/Utilities/SapphireSlopes/RunningFleet.cpp
+++ b/Utilities/SapphireSlopes/RunningFleet.cpp
@@ -195,6 +195,8 @@
             times.push_back(taken);
         } else {
             ++cost.failed;
+            cost.lastFailure =
+                answer ? std::to_string(answer.value().status) + " " + answer.value().body : answer.error().message;
         }
     });
     const double seconds = std::chrono::duration<double>(clock.now() - begin).count();
--- a/Utilities/SapphireSlopes/RunningFleet.h
+++ b/Utilities/SapphireSlopes/RunningFleet.h
@@ -50,6 +50,7 @@
     double medianMilliseconds { 0 };
     double ninetyNinthMilliseconds { 0 };
     int failed { 0 };
+    std::string lastFailure {}; ///< Empty if none failed.
 };
 
 struct StartCost
