--- a/Libraries/LibCaller/LookUp.cpp
+++ b/Libraries/LibCaller/LookUp.cpp
@@ -107,6 +107,14 @@
         }
     }
     others.insert(others.end(), ranked.alternatives.begin(), ranked.alternatives.end());
+    if (others.empty()) {
+        // A VM that is cut off suspects all others, while a caller may still reach them.
+        for (const RosterVm &vm : m_parts.roster.vms(m_parts.clock.now())) {
+            if (vm.process.vm != m_settings.process.vm && vm.place.region != m_settings.place.region) {
+                others.push_back(toAlternative(vm));
+            }
+        }
+    }
     others.resize(std::min(others.size(), m_settings.alternativeCount));
     return others;
 }
--- a/Libraries/LibDaemon/DaemonEvents.h
+++ b/Libraries/LibDaemon/DaemonEvents.h
@@ -14,6 +14,5 @@
 inline constexpr EventType listUnavailable { 9008, "vm-list-unavailable", Severity::Warning };
 inline constexpr EventType renewed { 9009, "vm-renewed-after-retirement", Severity::Warning };
 inline constexpr EventType journalLeft { 9010, "claims-not-written-at-stop", Severity::Warning };
-inline constexpr EventType targetDied { 9011, "target-died", Severity::Warning };
 
 } // namespace Sapphire::DaemonEvents
--- a/Libraries/LibDaemon/DaemonViews.cpp
+++ b/Libraries/LibDaemon/DaemonViews.cpp
@@ -46,11 +46,14 @@
     return table;
 }
 
-Table DaemonViews::rooms() const
+Table DaemonViews::rooms(const ServiceId &service) const
 {
     const TimePoint now = m_parts.clock.now();
     Table table { { "region", "service", "slots", "busy", "age-ms" } };
     for (const RegionRoom &room : m_parts.knowledge.rooms(now)) {
+        if (!service.isEmpty() && room.service != service) {
+            continue;
+        }
         const auto age = std::chrono::duration_cast<Milliseconds>(now - room.statedAt);
         table.rows.push_back({ room.region.text(), room.service.text(), std::to_string(room.slots),
                                std::to_string(room.busy), std::to_string(age.count()) });
@@ -58,12 +61,15 @@
     return table;
 }
 
-Table DaemonViews::weights() const
+Table DaemonViews::weights(const ServiceId &service) const
 {
     Table table { { "service", "region", "weight" } };
-    for (const auto &[service, record] : m_parts.configuration.configuration()->services) {
-        for (const auto &[region, share] : m_parts.router.weights(service)) {
-            table.rows.push_back({ service.text(), region.text(), percent(share) });
+    for (const auto &[id, record] : m_parts.configuration.configuration()->services) {
+        if (!service.isEmpty() && id != service) {
+            continue;
+        }
+        for (const auto &[region, share] : m_parts.router.weights(id)) {
+            table.rows.push_back({ id.text(), region.text(), percent(share) });
         }
     }
     return table;
--- a/Libraries/LibDaemon/DaemonViews.h
+++ b/Libraries/LibDaemon/DaemonViews.h
@@ -25,8 +25,8 @@
     }
 
     Table limits(const CustomerId &customer) const override;
-    Table rooms() const override;
-    Table weights() const override;
+    Table rooms(const ServiceId &service) const override;
+    Table weights(const ServiceId &service) const override;
     Table targetState(const TargetId &target) const override;
     std::vector<VmId> homeVms(const CustomerId &customer) const override;
 
--- a/Libraries/LibOperator/ConfigurationTables.cpp
+++ b/Libraries/LibOperator/ConfigurationTables.cpp
@@ -67,13 +67,13 @@
     return table;
 }
 
-Table keyTable(const Configuration &configuration, const std::string &name)
+Table keyTable(const Configuration &configuration, const std::string &name, const std::function<bool(const KeyId &)> &isWithdrawn)
 {
     Table table { { "key", "customer", "withdrawn", "version", "changed-by" } };
     for (const auto &[id, record] : configuration.keys) {
         if (isWanted(id.text(), name) || record.customer.text() == name) {
             table.rows.push_back(
-                withMark({ id.text(), record.customer.text(), yesNo(record.isWithdrawn) }, record.mark));
+                withMark({ id.text(), record.customer.text(), yesNo(isWithdrawn(id)) }, record.mark));
         }
     }
     return table;
--- a/Libraries/LibOperator/OperatorViews.h
+++ b/Libraries/LibOperator/OperatorViews.h
@@ -12,8 +12,8 @@
     virtual ~OperatorViews() = default;
 
     virtual Table limits(const CustomerId &customer) const = 0; ///< Of all customers if it is empty.
-    virtual Table rooms() const = 0;
-    virtual Table weights() const = 0;
+    virtual Table rooms(const ServiceId &service) const = 0; ///< Of all services if it is empty.
+    virtual Table weights(const ServiceId &service) const = 0; ///< Of all services if it is empty.
     virtual Table targetState(const TargetId &target) const = 0;
     virtual std::vector<VmId> homeVms(const CustomerId &customer) const = 0;
 };
--- a/Libraries/LibOperator/StatementRunner.cpp
+++ b/Libraries/LibOperator/StatementRunner.cpp
@@ -68,7 +68,9 @@
         answer.table = customerTable(*configuration, statement.name);
         break;
     case Subject::Keys:
-        answer.table = keyTable(*configuration, statement.name);
+        answer.table = keyTable(*configuration, statement.name, [this](const KeyId &key) {
+            return m_keeper.isWithdrawn(key);
+        });
         break;
     case Subject::Services:
         answer.table = serviceTable(*configuration, statement.name);
@@ -86,10 +88,10 @@
         answer.table = m_views.limits(CustomerId(statement.name));
         break;
     case Subject::Rooms:
-        answer.table = m_views.rooms();
+        answer.table = m_views.rooms(ServiceId(statement.name));
         break;
     case Subject::Weights:
-        answer.table = m_views.weights();
+        answer.table = m_views.weights(ServiceId(statement.name));
         break;
     case Subject::Version: {
         const ForceStatus status = m_keeper.forceStatus(configuration->version, m_clock.now());
@@ -150,7 +152,7 @@
     answer.version = configuration->version;
     answer.table = m_views.limits(customer);
     answer.message = customerTable(*configuration, customer.text()).text()
-        + keyTable(*configuration, customer.text()).text() + "home VMs: " + joined(m_views.homeVms(customer));
+        + keyTable(*configuration, customer.text(), [this](const KeyId &key) { return m_keeper.isWithdrawn(key); }).text() + "home VMs: " + joined(m_views.homeVms(customer));
     return answer;
 }
 
--- a/Utilities/SapphireLoad/LoadReport.cpp
+++ b/Utilities/SapphireLoad/LoadReport.cpp
@@ -46,6 +46,7 @@
     ++totals.sent;
     totals.answered += sample.isAnswered ? 1 : 0;
     totals.insideRate += sample.isInsideRate ? 1 : 0;
+    totals.insideRateUnserved += sample.isInsideRate && !sample.isAnswered ? 1 : 0;
     totals.refusedInsideRate += sample.isInsideRate && sample.reason == "rate-exceeded" ? 1 : 0;
     if (!sample.isAnswered) {
         ++totals.reasons[sample.reason];
--- a/Utilities/SapphireLoad/LoadReport.h
+++ b/Utilities/SapphireLoad/LoadReport.h
@@ -37,13 +37,18 @@
         /// Refused as over the rate although a single bucket would have admitted it. Of a customer above its rate, the
         /// system may well admit other requests instead.
         std::uint64_t refusedInsideRate { 0 };
+        std::uint64_t insideRateUnserved { 0 }; ///< Inside the rate and not answered, for whatever reason.
         std::map<std::string, std::uint64_t> reasons {};
         std::map<std::string, std::uint64_t> regions {};
 
+        /// Returns how many answers fewer there were than requests inside the rate.
+        std::uint64_t shortfall() const
+        {
+            return insideRate > answered ? insideRate - answered : 0;
+        }
         double servedShare() const
         {
-            return insideRate == 0 ? 1.0
-                                   : 1.0 - static_cast<double>(insideRateUnserved) / static_cast<double>(insideRate);
+            return insideRate == 0 ? 1.0 : 1.0 - static_cast<double>(shortfall()) / static_cast<double>(insideRate);
         }
     };
 
--- a/Utilities/Sapphirectl/main.cpp
+++ b/Utilities/Sapphirectl/main.cpp
@@ -143,6 +143,12 @@
 
 int runSentence(const OperatorClient &client, const std::string &sentence)
 {
+    // Another secret would be printed than the one that the first attempt recorded.
+    const bool makesSecret = sentence.starts_with("grant") && sentence.find(" hash ") == std::string::npos;
+    if (makesSecret && !FLAGS_command_id.empty()) {
+        std::cerr << "sapphirectl: a grant that is sent again needs the hash that its first attempt printed\n";
+        return ExitUsage;
+    }
     constexpr std::size_t idDigits = 24;
     std::string newKey;
     const std::string completed = completeGrant(sentence, newKey);
@@ -153,7 +159,7 @@
     if (!sent) {
         std::cerr << "sapphirectl: " << sent.error().message << '\n';
         if (sent.error().verdict != Verdict::NotRun) {
-            std::cerr << "the change may take effect; send it again with --command_id " << commandId << '\n';
+            std::cerr << "the change may take effect; send it again with --command_id " << commandId << ": " << completed << '\n';
         }
         return exitCodeOf(sent.error());
     }
@@ -166,7 +172,7 @@
         printText(answer);
     }
     if (code == ExitMayHaveRun) {
-        std::cerr << "send it again with --command_id " << commandId << " to find out\n";
+        std::cerr << "send it again with --command_id " << commandId << " to find out: " << completed << '\n';
     }
     if (!newKey.empty() && (code == ExitDone || code == ExitRecorded || code == ExitMayHaveRun)) {
         std::cout << "key: " << newKey << "\nIt is not shown again.\n";
@@ -192,12 +198,16 @@
     }
 }
 
-bool areFlagsUsable()
+bool areFlagsUsable(bool isInteractive)
 {
     if (FLAGS_vms.empty() || FLAGS_token_file.empty() || FLAGS_operator_name.empty()) {
         std::cerr << "sapphirectl: --vms, --token_file and --operator_name are needed\n" << usage;
         return false;
     }
+    if (isInteractive && !FLAGS_command_id.empty()) {
+        std::cerr << "sapphirectl: --command_id is the id of one change; give the sentence on the command line\n";
+        return false;
+    }
     if (FLAGS_output != "text" && FLAGS_output != "json") {
         std::cerr << "sapphirectl: --output is '" << FLAGS_output << "', expected text or json\n";
         return false;
@@ -220,7 +230,7 @@
         std::cout << helpText(words.size() > 1 ? words[1] : "");
         return ExitDone;
     }
-    if (!areFlagsUsable()) {
+    if (!areFlagsUsable(sentence.empty())) {
         return ExitUsage;
     }
     std::ifstream tokenFile(FLAGS_token_file);
