LibTarget: Give up old connections to all targets of a service after a silent one

Cause: connections to several targets can go silent together. A request that waited in vain closed the old connections to its own target only, so the next request could wait for its whole deadline on an old connection to another target. Ruled out: new connections (they worked all the time); the observer, which has connections of its own.

--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -236,7 +236,7 @@
                  { { "target", choice.attempt.target }, { "detail", report.exchange.refusal->detail } });
     }
     if (report.end == AttemptEnd::Silent) {
-        choice.target->pool().closeIdleBefore(report.sentAt);
+        closeOldConnections(service, choice, report);
     }
     const bool hasAnswered = report.end == AttemptEnd::Answered || report.end == AttemptEnd::Shed;
     choice.target->noteEnd(inFlight, hasAnswered);
@@ -244,6 +244,24 @@
     return report;
 }
 
+void ServiceTargets::closeOldConnections(Service &service, const Choice &choice, const AttemptReport &report) const
+{
+    choice.target->pool().closeIdleBefore(report.sentAt);
+    if (!report.wasReused || m_clock.now() - report.sentAt < leastSilence) {
+        return;
+    }
+    std::map<TargetId, RefPointer<TargetEntry>> targets;
+    {
+        const std::lock_guard guard(service.mutex);
+        targets = service.targets;
+    }
+    // What silenced an old connection may have silenced those to the other targets, and each of them would cost a
+    // request its whole deadline. Connections that have answered since are kept.
+    for (const auto &[id, target] : targets) {
+        target->pool().closeIdleBefore(report.sentAt);
+    }
+}
+
 void ServiceTargets::noteEnd(Service &service, const Choice &choice, const AttemptReport &report)
 {
     bool isEjected = false;
--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -105,6 +105,8 @@
                      Deadline waitLimit, const AnswerSink &sink);
     AttemptReport runAttempt(Service &service, const Choice &choice, const RequestHead &head, BodySource &body,
                              AnswerSink &sink, const std::string &fingerprint);
+    /// Closes pooled connections that have not answered since a request began that got no answer.
+    void closeOldConnections(Service &service, const Choice &choice, const AttemptReport &report) const;
     void noteEnd(Service &service, const Choice &choice, const AttemptReport &report);
     AttemptOutcome outcomeOf(const Service &service, const AttemptReport &report, const TargetId &target) const;
     void checkDeath(Service &service, const Choice &choice);
