--- a/Libraries/LibFleet/FleetServer.h
+++ b/Libraries/LibFleet/FleetServer.h
@@ -3,9 +3,9 @@
 #include <LibCore/Clock.h>
 #include <LibExchange/RequestHandler.h>
 #include <LibFleet/ExchangeBuilder.h>
+#include <LibFleet/FleetWithdrawalSpreader.h>
 #include <LibFleet/RequestStateSource.h>
 #include <LibFleet/SnapshotExchange.h>
-#include <LibFleet/FleetWithdrawalSpreader.h>
 #include <LibSteering/Loan.h>
 
 #include <memory>
--- a/Libraries/LibFleet/FleetWithdrawalSpreader.cpp
+++ b/Libraries/LibFleet/FleetWithdrawalSpreader.cpp
@@ -9,7 +9,7 @@
 }
 
 FleetWithdrawalSpreader::FleetWithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
-                                       FleetWithdrawalSpreaderSettings settings)
+                                                 FleetWithdrawalSpreaderSettings settings)
     : m_client(client)
     , m_membership(membership)
     , m_clock(clock)
--- a/Libraries/LibFleet/FleetWithdrawalSpreader.h
+++ b/Libraries/LibFleet/FleetWithdrawalSpreader.h
@@ -21,7 +21,7 @@
 {
 public:
     FleetWithdrawalSpreader(FleetClient &client, const Membership &membership, const Clock &clock,
-                       FleetWithdrawalSpreaderSettings settings = {});
+                            FleetWithdrawalSpreaderSettings settings = {});
     ~FleetWithdrawalSpreader() override;
 
     /// Pushes the keys to all peers and returns the number of those that acknowledged by the deadline.
--- a/Libraries/LibFleet/GossipDuty.h
+++ b/Libraries/LibFleet/GossipDuty.h
@@ -2,9 +2,9 @@
 
 #include <LibFleet/ExchangeBuilder.h>
 #include <LibFleet/FleetClient.h>
+#include <LibFleet/FleetWithdrawalSpreader.h>
 #include <LibFleet/PeerSelection.h>
 #include <LibFleet/SnapshotExchange.h>
-#include <LibFleet/FleetWithdrawalSpreader.h>
 
 #include <atomic>
 #include <map>
--- a/Libraries/LibOperator/ConfigurationTables.h
+++ b/Libraries/LibOperator/ConfigurationTables.h
@@ -13,7 +13,8 @@
 Table vmTable(const std::vector<RosterVm> &vms, const std::string &name);
 Table customerTable(const Configuration &configuration, const std::string &name);
 /// Never contains a key's hash. Withdrawals that are not in the configuration yet are asked for by `isWithdrawn`.
-Table keyTable(const Configuration &configuration, const std::string &name, const std::function<bool(const KeyId &)> &isWithdrawn);
+Table keyTable(const Configuration &configuration, const std::string &name,
+               const std::function<bool(const KeyId &)> &isWithdrawn);
 Table serviceTable(const Configuration &configuration, const std::string &name);
 Table targetTable(const Configuration &configuration, const std::string &name);
 Table regionTable(const Configuration &configuration, const std::string &name);
--- a/Libraries/LibOperator/StatementRunner.cpp
+++ b/Libraries/LibOperator/StatementRunner.cpp
@@ -152,7 +152,12 @@
     answer.version = configuration->version;
     answer.table = m_views.limits(customer);
     answer.message = customerTable(*configuration, customer.text()).text()
-        + keyTable(*configuration, customer.text(), [this](const KeyId &key) { return m_keeper.isWithdrawn(key); }).text() + "home VMs: " + joined(m_views.homeVms(customer));
+        + keyTable(*configuration, customer.text(),
+                   [this](const KeyId &key) {
+                       return m_keeper.isWithdrawn(key);
+                   })
+              .text()
+        + "home VMs: " + joined(m_views.homeVms(customer));
     return answer;
 }
 
--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -108,6 +108,8 @@
     /// Gives a trial less time than the request has.
     AttemptReport runLimited(Service &service, const Choice &choice, const RequestHead &head, BodySource &body,
                              AnswerSink &sink);
+    /// Closes pooled connections that have not answered since a request began that got no answer.
+    void closeOldConnections(Service &service, const Choice &choice, const AttemptReport &report) const;
     void noteEnd(Service &service, const Choice &choice, const AttemptReport &report);
     AttemptOutcome outcomeOf(const Service &service, const AttemptReport &report, const SelectedAttempt &attempt) const;
     /// Returns after how long without an answer a target counts as silent. The service's mutex must be held.
--- a/Utilities/Sapphirectl/main.cpp
+++ b/Utilities/Sapphirectl/main.cpp
@@ -159,7 +159,8 @@
     if (!sent) {
         std::cerr << "sapphirectl: " << sent.error().message << '\n';
         if (sent.error().verdict != Verdict::NotRun) {
-            std::cerr << "the change may take effect; send it again with --command_id " << commandId << ": " << completed << '\n';
+            std::cerr << "the change may take effect; send it again with --command_id " << commandId << ": "
+                      << completed << '\n';
         }
         return exitCodeOf(sent.error());
     }
