LibCaller: Don't say not-run of an issued id when its issuer was not asked

Cause: a forward that doesn't reach the VM says target-failed or deadline-passed, which is true of that attempt, while only issuer-unreachable led to the check of the id's state. Ruled out: a second run of the id (no id ran twice). Now these reasons lead to the check too. The issuer's own target-failed as not run is then also weakened to what the row says, at worst may-have-run; the forward would have to tell the two apart to avoid that.

--- a/Libraries/LibCaller/EntryHandler.cpp
+++ b/Libraries/LibCaller/EntryHandler.cpp
@@ -206,7 +206,11 @@
     if (!report.refusal || report.isAnswerStarted || report.refusal->verdict != Verdict::NotRun) {
         return report;
     }
-    if (report.refusal->reason != RefusalReason::IssuerUnreachable) {
+    // A forward that failed on the way to the issuer shows as a failed target or a passed deadline.
+    const RefusalReason reason = report.refusal->reason;
+    const bool mayBeUnasked = reason == RefusalReason::IssuerUnreachable || reason == RefusalReason::TargetFailed
+        || reason == RefusalReason::DeadlinePassed;
+    if (!mayBeUnasked) {
         return report;
     }
     const RequestRecord record = m_parts.ledger.state({ head.customer, head.id }, head.deadline);
@@ -215,7 +219,7 @@
     }
     // This attempt has not run, but an earlier one may have; only its issuer could tell.
     report.refusal->verdict = verdictOf(record.state);
-    report.refusal->detail = "the VM that issued the request id can't be reached";
+    report.refusal->detail = "the VM that issued the request id did not run it: " + report.refusal->detail;
     return report;
 }
 
