LibCaller: Don't retry a request that its own attempts made a crash suspect

Cause: the suspects are asked once, before the first attempt, and the retries of the request only ask the retry budget. Now a retry asks the suspects too.

--- a/Libraries/LibCaller/RegionRouter.cpp
+++ b/Libraries/LibCaller/RegionRouter.cpp
@@ -131,10 +131,12 @@
     return m_suspects.seenAfter(after, m_parts.clock.now());
 }
 
-bool RegionRouter::tryRetry(const CustomerId &customer, const ServiceId &service)
+bool RegionRouter::tryRetry(const RequestHead &head, const Fingerprint &fingerprint)
 {
     const std::lock_guard guard(m_mutex);
-    return m_retryBudget.tryRetry(customer, service);
+    // The attempts before may have made the request a suspect.
+    const bool isSuspect = m_suspects.isRefused(fingerprint, head.isIdempotent, m_parts.clock.now());
+    return !isSuspect && m_retryBudget.tryRetry(head.customer, head.service);
 }
 
 std::optional<Refusal> RegionRouter::refuseSuspect(const RequestHead &head, const Fingerprint &fingerprint) const
--- a/Libraries/LibCaller/RegionRouter.h
+++ b/Libraries/LibCaller/RegionRouter.h
@@ -48,8 +48,8 @@
     void noteCrash(const Fingerprint &fingerprint, bool wasAlone);
     void mergeSuspect(const CrashSuspect &suspect);
     std::vector<CrashSuspect> suspectsSeenAfter(TimePoint after) const;
-    /// Returns whether a retry may be made, and accounts for it.
-    bool tryRetry(const CustomerId &customer, const ServiceId &service);
+    /// Returns whether a retry of the request may be made, and accounts for it.
+    bool tryRetry(const RequestHead &head, const Fingerprint &fingerprint);
 
 private:
     std::optional<Refusal> refuseSuspect(const RequestHead &head, const Fingerprint &fingerprint) const;
--- a/Libraries/LibDaemon/LocalTargetRunner.cpp
+++ b/Libraries/LibDaemon/LocalTargetRunner.cpp
@@ -22,8 +22,8 @@
     RunContext context;
     context.fingerprint = options.fingerprint.text();
     if (options.mayRetry) {
-        context.mayRetry = [this, &head](const AttemptReport &) {
-            return m_router->tryRetry(head.customer, head.service);
+        context.mayRetry = [this, &head, fingerprint = options.fingerprint](const AttemptReport &) {
+            return m_router->tryRetry(head, fingerprint);
         };
     }
     ExchangeReport report = m_targets.run(traced, body, sink, context);
