--- a/Tests/Integration/TestRegionOverload.cpp
+++ b/Tests/Integration/TestRegionOverload.cpp
@@ -29,6 +29,7 @@
     std::string start; ///< Parameters of the stand-in's control.
     std::string end;
     std::string atReceiver {}; ///< Parameters for the targets of the receiving region.
+    int paths { 1 }; ///< Different paths that the callers read, each as often.
 };
 
 void setTargets(Deployment &deployment, const std::string &region, const std::string &parameters)
@@ -42,13 +43,19 @@
     }
 }
 
-LoadPlan loadOf(Deployment &deployment, const LoadCustomer &customer, const std::string &region, Milliseconds duration)
+LoadPlan loadOf(Deployment &deployment, const LoadCustomer &customer, const std::string &region, Milliseconds duration,
+                int paths)
 {
     LoadPlan plan = readLoad(deployment, { customer }, duration, seed);
     std::erase_if(plan.origins, [&](const LoadOrigin &origin) {
         return origin.region != region;
     });
     plan.routes.front().timeout = Milliseconds(1'000);
+    const LoadRoute route = plan.routes.front();
+    for (int path = 1; path < paths; ++path) {
+        plan.routes.push_back(route);
+        plan.routes.back().path = "/lines/other-" + std::to_string(path);
+    }
     return plan;
 }
 
@@ -140,9 +147,9 @@
     LoadReport neighboursAfter;
     TimePoint failedAt;
     const TimePoint start = clock.now();
-    const LoadPlan callerPlan = loadOf(*deployment, caller, "cuyo", timeBefore + timeFailed + timeAfter);
-    const LoadPlan planBefore = loadOf(*deployment, neighbour, "pampa", timeBefore);
-    const LoadPlan planAfter = loadOf(*deployment, neighbour, "pampa", timeFailed + timeAfter);
+    const LoadPlan callerPlan = loadOf(*deployment, caller, "cuyo", timeBefore + timeFailed + timeAfter, fault.paths);
+    const LoadPlan planBefore = loadOf(*deployment, neighbour, "pampa", timeBefore, fault.paths);
+    const LoadPlan planAfter = loadOf(*deployment, neighbour, "pampa", timeFailed + timeAfter, fault.paths);
     runUnderLoad(callerPlan, callers, [&] {
         LoadRun(planBefore).run(neighboursBefore);
         if (!fault.atReceiver.empty()) {
@@ -203,3 +210,16 @@
     // Guards against room that is granted on a lying load report.
     failRegionAndCheck({ "lying load", "down=1", "down=0", "claimedInFlight=0&claimedSlots=100" });
 }
+
+TEST_CASE("Reads of many paths from a region whose targets are down move under the cap and overload no region")
+{
+    // Guards against the same as the first test. There the one path that all callers read is soon a crash suspect, so
+    // that little is left to move.
+    failRegionAndCheck({ "targets down, many paths", "down=1", "down=0", "", 500 });
+}
+
+TEST_CASE("Reads of many paths don't overload a receiving region that reports idle targets with too many slots")
+{
+    // Guards against room that is granted on a lying load report, as above with work to move.
+    failRegionAndCheck({ "lying load, many paths", "down=1", "down=0", "claimedInFlight=0&claimedSlots=100", 500 });
+}
