--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -203,6 +203,9 @@
     } else if (!m_isListLost) {
         logEvent(DaemonEvents::listUnavailable, { { "reason", list.error().message } });
     }
+    if (!list && m_membership.listedVms().empty()) {
+        m_membership.takeList(m_settings.seedVms, m_clock.now());
+    }
     m_isListLost = !list;
 }
 
--- a/Libraries/LibDaemon/DaemonSettings.cpp
+++ b/Libraries/LibDaemon/DaemonSettings.cpp
@@ -50,6 +50,23 @@
     settings.platformAddress = readEndpoint(reader, "platformAddress");
 }
 
+void readSeedVms(SettingsReader &reader, DaemonSettings &settings)
+{
+    for (SettingsReader &seed : reader.objects("seedVms")) {
+        ListedVm vm;
+        vm.vm = VmId(seed.requiredText("vm"));
+        vm.place = { RegionId(seed.requiredText("region")), AvailabilityZoneId(seed.requiredText("availabilityZone")) };
+        vm.endpoints.address = seed.requiredText("address");
+        vm.endpoints.callerPort = static_cast<std::uint16_t>(seed.requiredInteger("callerPort", 1, highestPort));
+        vm.endpoints.fleetPort = static_cast<std::uint16_t>(seed.requiredInteger("fleetPort", 1, highestPort));
+        if (!vm.endpoints.address.empty() && !AddressPrefix::parse(vm.endpoints.address)) {
+            seed.reject("address", vm.endpoints.address, "an IPv4 number");
+        }
+        seed.rejectUnknownMembers();
+        settings.seedVms.push_back(vm);
+    }
+}
+
 void readAddressMap(SettingsReader &reader, DaemonSettings &settings)
 {
     if (!reader.has("addressMap")) {
@@ -115,6 +132,7 @@
     BOOST_LEAF_AUTO(reader, SettingsReader::create(text));
     DaemonSettings settings;
     readIdentity(reader, settings);
+    readSeedVms(reader, settings);
     readAddressMap(reader, settings);
     readLog(reader, settings);
     readLimitsOfCallers(reader, settings);
--- a/Libraries/LibDaemon/DaemonSettings.h
+++ b/Libraries/LibDaemon/DaemonSettings.h
@@ -4,6 +4,7 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/SettingsReader.h>
 #include <LibLimit/LimitSettings.h>
+#include <LibPlatform/VmDirectory.h>
 #include <LibSteering/TargetSelector.h>
 
 #include <map>
@@ -21,6 +22,8 @@
     std::uint16_t operatorPort { 0 };
     std::string operatorToken;
     std::string platformAddress; ///< "ip:port".
+    /// VMs to turn to at a start while the platform's list can't be read. Some of them may be gone.
+    std::vector<ListedVm> seedVms;
     /// Address to use instead of another VM's fleet address, where addresses are translated between regions.
     std::map<std::string, std::string> addressMap;
     EventLogSettings log;
--- a/Libraries/LibDaemon/LocalTargetRunner.cpp
+++ b/Libraries/LibDaemon/LocalTargetRunner.cpp
@@ -30,13 +30,14 @@
     RunContext context;
     context.fingerprint = options.fingerprint.text();
     if (options.mayRetry) {
-        context.mayRetry = [this, &head, freeRetries = freeRetriesAfterShedding](const AttemptReport &attempt) mutable {
+        context.mayRetry = [this, &head, fingerprint = options.fingerprint,
+                            freeRetries = freeRetriesAfterShedding](const AttemptReport &attempt) mutable {
             const bool isCheap = attempt.end == AttemptEnd::Shed || attempt.end == AttemptEnd::OwnLimit;
             if (isCheap && freeRetries > 0) {
                 --freeRetries;
                 return true;
             }
-            return m_router->tryRetry(head.customer, head.service);
+            return m_router->tryRetry(head, fingerprint);
         };
     }
     ExchangeReport report = m_targets.run(traced, body, sink, context);
--- a/Libraries/LibSteering/CrashSuspects.cpp
+++ b/Libraries/LibSteering/CrashSuspects.cpp
@@ -15,6 +15,9 @@
 constexpr int refusalPoints = 2;
 // An idempotent request may crash one more target before it is refused: the first death can be a coincidence.
 constexpr int refusalPointsIdempotent = 4;
+// For a request that targets have answered before.
+constexpr int refusalPointsAnswered = 16;
+constexpr Milliseconds memoryAnswered { 15'000 };
 
 } // namespace
 
@@ -32,6 +35,20 @@
     suspect.crashes += wasAlone ? pointsAlone : pointsBesideOthers;
 }
 
+void CrashSuspects::noteAnswered(const Fingerprint &fingerprint, TimePoint now)
+{
+    m_suspects.erase(fingerprint);
+    if (m_answered.size() < mostSuspects || m_answered.contains(fingerprint)) {
+        m_answered[fingerprint] = now;
+    }
+}
+
+bool CrashSuspects::wasAnswered(const Fingerprint &fingerprint, TimePoint now) const
+{
+    const auto found = m_answered.find(fingerprint);
+    return found != m_answered.end() && now - found->second <= memory;
+}
+
 void CrashSuspects::merge(const CrashSuspect &suspect, TimePoint now)
 {
     if (now - suspect.lastSeenAt > memory) {
@@ -51,10 +68,14 @@
 bool CrashSuspects::isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const
 {
     const auto found = m_suspects.find(fingerprint);
-    if (found == m_suspects.end() || now - found->second.lastSeenAt > memory) {
+    if (found == m_suspects.end()) {
         return false;
     }
-    return found->second.crashes >= (isIdempotent ? refusalPointsIdempotent : refusalPoints);
+    const Microseconds age = now - found->second.lastSeenAt;
+    if (wasAnswered(fingerprint, now)) {
+        return age <= memoryAnswered && found->second.crashes >= refusalPointsAnswered;
+    }
+    return age <= memory && found->second.crashes >= (isIdempotent ? refusalPointsIdempotent : refusalPoints);
 }
 
 std::vector<CrashSuspect> CrashSuspects::seenAfter(TimePoint after, TimePoint now) const
@@ -73,6 +94,9 @@
     std::erase_if(m_suspects, [now](const auto &entry) {
         return now - entry.second.lastSeenAt > memory;
     });
+    std::erase_if(m_answered, [now](const auto &entry) {
+        return now - entry.second > memory;
+    });
 }
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/CrashSuspects.h
+++ b/Libraries/LibSteering/CrashSuspects.h
@@ -13,6 +13,9 @@
 public:
     /// Notes that a target died while the request ran there, alone or beside others.
     void noteCrash(const Fingerprint &fingerprint, bool wasAlone, TimePoint now);
+    /// Notes that a target answered the request. A request that targets have answered is blamed only if several die one
+    /// after the other without an answer in between: many callers may read the same path while a region fails.
+    void noteAnswered(const Fingerprint &fingerprint, TimePoint now);
     /// Takes what another VM remembers.
     void merge(const CrashSuspect &suspect, TimePoint now);
     /// Returns whether the request must not be sent to a target.
@@ -23,7 +26,10 @@
     void expire(TimePoint now);
 
 private:
+    bool wasAnswered(const Fingerprint &fingerprint, TimePoint now) const;
+
     std::map<Fingerprint, CrashSuspect> m_suspects;
+    std::map<Fingerprint, TimePoint> m_answered; ///< When a target answered last.
 };
 
 } // namespace Sapphire
--- a/Tests/Deployment/Deployment.cpp
+++ b/Tests/Deployment/Deployment.cpp
@@ -213,7 +213,19 @@
             separator = ",";
         }
     }
-    text << "}";
+    text << "},\"seedVms\":[";
+    separator = "";
+    for (const DeployedVm &other : m_vms) {
+        if (other.vm != vm.vm) {
+            text << separator << "{\"vm\":" << quoted(other.vm.text())
+                 << ",\"region\":" << quoted(other.place.region.text())
+                 << ",\"availabilityZone\":" << quoted(other.place.availabilityZone.text())
+                 << ",\"address\":" << quoted(other.address) << ",\"callerPort\":" << callerPort
+                 << ",\"fleetPort\":" << fleetPort << "}";
+            separator = ",";
+        }
+    }
+    text << "]";
     if (!m_options.extraSettings.empty()) {
         text << "," << m_options.extraSettings;
     }
--- a/Tests/LibSteering/TestCrashSuspects.cpp
+++ b/Tests/LibSteering/TestCrashSuspects.cpp
@@ -41,3 +41,19 @@
     CHECK(suspects.seenAfter(start - Milliseconds(1), start).size() == 1);
     CHECK_FALSE(suspects.isRefused(request, false, start + Milliseconds(600'001)));
 }
+
+TEST_CASE("CrashSuspects does not blame a request that targets have answered for the failure of a region")
+{
+    // Guards against a read that many callers share and that is refused everywhere once the targets of a region die.
+    CrashSuspects suspects;
+    suspects.noteAnswered(request, start);
+    for (int target = 0; target < 6; ++target) {
+        suspects.noteCrash(request, true, start);
+    }
+    CHECK_FALSE(suspects.isRefused(request, true, start));
+    suspects.noteCrash(request, true, start);
+    suspects.noteCrash(request, true, start);
+    CHECK(suspects.isRefused(request, true, start));
+    suspects.noteAnswered(request, start);
+    CHECK_FALSE(suspects.isRefused(request, true, start));
+}
