--- a/Tests/Integration/TestWholeAnswers.cpp
+++ b/Tests/Integration/TestWholeAnswers.cpp
@@ -222,9 +222,12 @@
     const BootClock clock;
     while (!end.hasPassed(clock.now())) {
         const DeployedTarget &target = deployment->targets()[random.below(deployment->targets().size())];
-        const std::string delay = std::to_string(random.below(3) * 200);
+        std::string set = "/control/set?target=";
+        set += target.target.text();
+        set += "&answerDelayMs=";
+        set += std::to_string(random.below(3) * 200);
         capture([&] {
-            return deployment->targetControl("/control/set?target=" + target.target.text() + "&answerDelayMs=" + delay);
+            return deployment->targetControl(set);
         });
         std::this_thread::sleep_for(Milliseconds(20));
     }
