LibSteering: Share a crash suspect only if this VM would refuse it itself

Cause: when the targets of a region died, the read that all its callers share became a suspect; the VMs there knew that targets had answered it before, but those of other regions did not and refused it, so the flow could not move. Ruled out: the weights (they moved) and the rooms (pampa's slots were free). Conclusion: what a VM shares must not be judged with less knowledge than it was gained with.

--- a/Libraries/LibCaller/EntryHandler.cpp
+++ b/Libraries/LibCaller/EntryHandler.cpp
@@ -32,20 +32,6 @@
     return Verdict::MayHaveRun;
 }
 
-RefusalReason reasonOf(const Error &error)
-{
-    switch (error.code) {
-    case ErrorCode::Cancelled:
-        return RefusalReason::Cancelled;
-    case ErrorCode::Timeout:
-        return RefusalReason::DeadlinePassed;
-    case ErrorCode::ResourceExhausted:
-        return RefusalReason::TooLarge;
-    default:
-        return RefusalReason::BadRequest;
-    }
-}
-
 } // namespace
 
 EntryHandler::EntryHandler(Parts parts, VmIncarnation process) : m_parts(parts), m_process(std::move(process))
@@ -134,7 +120,7 @@
             return buffered.fill();
         });
         if (!filled) {
-            refusal = Refusal { reasonOf(filled.error()), Verdict::NotRun, filled.error().message, {}, {} };
+            refusal = Refusal { refusalReasonOf(filled.error().code), Verdict::NotRun, filled.error().message, {}, {} };
         }
     }
     if (!refusal) {
@@ -168,7 +154,7 @@
         return buffered.fill();
     });
     if (!filled) {
-        return refused({ reasonOf(filled.error()), Verdict::NotRun, filled.error().message, {}, {} });
+        return refused({ refusalReasonOf(filled.error().code), Verdict::NotRun, filled.error().message, {}, {} });
     }
     const Fingerprint fingerprint = fingerprintOf(head, buffered.buffered());
     const std::optional<IssuedRequestId> issued = IssuedRequestId::parse(head.id);
--- a/Libraries/LibCaller/HttpAnswerSink.cpp
+++ b/Libraries/LibCaller/HttpAnswerSink.cpp
@@ -6,9 +6,9 @@
 
 namespace Sapphire {
 
-HttpAnswerSink::HttpAnswerSink(Poco::Net::HTTPServerResponse &response, Poco::Net::StreamSocket socket, VmId ownVm,
-                               bool hasNoBody)
-    : m_response(response), m_socket(std::move(socket)), m_ownVm(std::move(ownVm)), m_hasNoBody(hasNoBody)
+HttpAnswerSink::HttpAnswerSink(Poco::Net::HTTPServerResponse &response, const Poco::Net::StreamSocket &socket,
+                               VmId ownVm, bool hasNoBody)
+    : m_response(response), m_socket(socket), m_ownVm(std::move(ownVm)), m_hasNoBody(hasNoBody)
 {
 }
 
--- a/Libraries/LibCaller/HttpAnswerSink.h
+++ b/Libraries/LibCaller/HttpAnswerSink.h
@@ -12,7 +12,8 @@
 class HttpAnswerSink final : public AnswerSink
 {
 public:
-    HttpAnswerSink(Poco::Net::HTTPServerResponse &response, Poco::Net::StreamSocket socket, VmId ownVm, bool hasNoBody);
+    HttpAnswerSink(Poco::Net::HTTPServerResponse &response, const Poco::Net::StreamSocket &socket, VmId ownVm,
+                   bool hasNoBody);
 
     Result<void> start(const AnswerHead &head) override;
     Result<void> write(std::span<const char> bytes) override;
--- a/Libraries/LibExchange/Refusal.cpp
+++ b/Libraries/LibExchange/Refusal.cpp
@@ -31,4 +31,20 @@
     return static_cast<RefusalReason>(found - reasonNames.begin());
 }
 
+RefusalReason refusalReasonOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::Cancelled:
+        return RefusalReason::Cancelled;
+    case ErrorCode::Timeout:
+        return RefusalReason::DeadlinePassed;
+    case ErrorCode::ResourceExhausted:
+        return RefusalReason::TooLarge;
+    case ErrorCode::InvalidArgument:
+        return RefusalReason::BadRequest;
+    default:
+        return RefusalReason::Internal;
+    }
+}
+
 } // namespace Sapphire
--- a/Libraries/LibExchange/Refusal.h
+++ b/Libraries/LibExchange/Refusal.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Deadline.h>
 #include <LibCore/Ids.h>
+#include <LibCore/Result.h>
 #include <LibCore/Verdict.h>
 
 #include <optional>
@@ -38,6 +39,8 @@
 
 std::string_view nameOf(RefusalReason reason);
 std::optional<RefusalReason> refusalReasonFromString(std::string_view text);
+/// Returns the reason with which a request is refused whose body could not be read.
+RefusalReason refusalReasonOf(ErrorCode code);
 
 /// A VM that a caller can turn to instead.
 struct AlternativeVm
--- a/Libraries/LibFleet/ForwardHandler.cpp
+++ b/Libraries/LibFleet/ForwardHandler.cpp
@@ -20,22 +20,6 @@
     return { reason, verdict, std::move(detail), {}, {} };
 }
 
-RefusalReason reasonOf(ErrorCode code)
-{
-    switch (code) {
-    case ErrorCode::Cancelled:
-        return RefusalReason::Cancelled;
-    case ErrorCode::Timeout:
-        return RefusalReason::DeadlinePassed;
-    case ErrorCode::ResourceExhausted:
-        return RefusalReason::TooLarge;
-    case ErrorCode::InvalidArgument:
-        return RefusalReason::BadRequest;
-    default:
-        return RefusalReason::Internal;
-    }
-}
-
 } // namespace
 
 /// One forwarded request. All steps run on the calling thread, between events of the call's queue.
@@ -138,7 +122,7 @@
             return m_body.read(buffer);
         });
         if (!count) {
-            abandon(reasonOf(count.error().code), "the request's body: " + count.error().message);
+            abandon(refusalReasonOf(count.error().code), "the request's body: " + count.error().message);
             return;
         }
         m_isBodySent = count.value() == 0;
@@ -160,7 +144,7 @@
             return takePart();
         });
         if (!taken) {
-            abandon(reasonOf(taken.error().code), taken.error().message);
+            abandon(refusalReasonOf(taken.error().code), taken.error().message);
         }
     }
 
--- a/Libraries/LibSteering/CrashSuspects.cpp
+++ b/Libraries/LibSteering/CrashSuspects.cpp
@@ -82,7 +82,9 @@
 {
     std::vector<CrashSuspect> result;
     for (const auto &[fingerprint, suspect] : m_suspects) {
-        if (suspect.lastSeenAt > after && now - suspect.lastSeenAt <= memory) {
+        // Other VMs may not know that targets have answered the request, and would blame it sooner than this one.
+        const bool isWellKnown = wasAnswered(fingerprint, now) && suspect.crashes < refusalPointsAnswered;
+        if (!isWellKnown && suspect.lastSeenAt > after && now - suspect.lastSeenAt <= memory) {
             result.push_back(suspect);
         }
     }
--- a/Tests/LibSteering/TestCrashSuspects.cpp
+++ b/Tests/LibSteering/TestCrashSuspects.cpp
@@ -51,6 +51,7 @@
         suspects.noteCrash(request, true, start);
     }
     CHECK_FALSE(suspects.isRefused(request, true, start));
+    CHECK(suspects.seenAfter(start - Milliseconds(1), start).empty());
     suspects.noteCrash(request, true, start);
     suspects.noteCrash(request, true, start);
     CHECK(suspects.isRefused(request, true, start));
