LibOperator: Say which withdrawals are not durable yet, and mend what the linter found

Ruled out: a lost withdrawal (the store never had it when the test killed every VM that knew it). Conclusion: "not durable yet" is a state of its own.

--- a/Libraries/LibOperator/ConfigurationTables.cpp
+++ b/Libraries/LibOperator/ConfigurationTables.cpp
@@ -73,7 +73,9 @@
     Table table { { "key", "customer", "withdrawn", "version", "changed-by" } };
     for (const auto &[id, record] : configuration.keys) {
         if (isWanted(id.text(), name) || record.customer.text() == name) {
-            table.rows.push_back(withMark({ id.text(), record.customer.text(), yesNo(isWithdrawn(id)) }, record.mark));
+            const std::string pending = isWithdrawn(id) ? "not durable yet" : "no";
+            const std::string withdrawn = record.isWithdrawn ? "yes" : pending;
+            table.rows.push_back(withMark({ id.text(), record.customer.text(), withdrawn }, record.mark));
         }
     }
     return table;
--- a/Tests/Deployment/Deployment.cpp
+++ b/Tests/Deployment/Deployment.cpp
@@ -355,7 +355,10 @@
         BOOST_LEAF_AUTO(answer, command(m_vms.front().vm.text(), sentence, shortWait));
         if (answer.find("\"outcome\":\"in-force\"") == std::string::npos
             && answer.find("\"outcome\":\"recorded\"") == std::string::npos) {
-            return fail(ErrorCode::Internal, sentence + ": " + answer);
+            std::string message = sentence;
+            message += ": ";
+            message += answer;
+            return fail(ErrorCode::Internal, message);
         }
     }
     return {};
--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -123,9 +123,9 @@
     }
     const auto ledger = ledgerById(*deployment);
     CHECK(ledger.size() == 30);
-    for (const auto &[id, runs] : ledger) {
-        CAPTURE(id);
-        CHECK(runs.size() == 1);
+    for (const auto &entry : ledger) {
+        CAPTURE(entry.first);
+        CHECK(entry.second.size() == 1);
     }
 }
 
--- a/Tests/Integration/TestKeys.cpp
+++ b/Tests/Integration/TestKeys.cpp
@@ -142,10 +142,10 @@
     for (const std::string &name : customers) {
         const std::string secret = deployment.key(name).substr(name.size() + 3);
         REQUIRE(known.find(secret) != std::string::npos);
-        for (const auto &[file, text] : texts) {
-            CAPTURE(file);
-            bytes += text.size();
-            CHECK(text.find(secret) == std::string::npos);
+        for (const auto &entry : texts) {
+            CAPTURE(entry.first);
+            bytes += entry.second.size();
+            CHECK(entry.second.find(secret) == std::string::npos);
         }
     }
     const auto findings = parseObject(expect([&] {
--- a/Tests/Integration/TestWholeAnswers.cpp
+++ b/Tests/Integration/TestWholeAnswers.cpp
@@ -198,9 +198,15 @@
                 const std::string body = own + " " + std::string(random.below(3'000), 'b');
                 const DeployedVm &vm = deployment->vms()[random.below(deployment->vms().size())];
                 const std::string timeout = std::to_string(50 + random.below(500));
+                std::string url = "http://";
+                url += vm.callerAddress;
+                url += servicePath;
+                url += "/";
+                url += own;
+                url += "?echo=1";
                 const auto answer = capture([&] {
                     return HttpCall { "PUT",
-                                      "http://" + vm.callerAddress + servicePath + "/" + own + "?echo=1",
+                                      url,
                                       { { "Authorization", "Bearer " + deployment->key(customer) },
                                         { "Request-Timeout-Ms", timeout },
                                         { "Content-Length", std::to_string(body.size()) } },
--- a/Tests/LibFleet/TestPeerSelection.cpp
+++ b/Tests/LibFleet/TestPeerSelection.cpp
@@ -66,9 +66,9 @@
             ++pulls[peer.vm];
         }
     }
-    for (const auto &[vm, count] : pulls) {
-        INFO(vm);
-        CHECK(count <= 14);
+    for (const auto &pull : pulls) {
+        INFO(pull.first);
+        CHECK(pull.second <= 14);
     }
 }
 
