--- a/Utilities/Sapphirectl/main.cpp
+++ b/Utilities/Sapphirectl/main.cpp
@@ -214,32 +214,33 @@
         return false;
     }
     return true;
+}
 
-    int run(int argc, char **argv)
-    {
-        gflags::SetUsageMessage(usage);
-        gflags::ParseCommandLineFlags(&argc, &argv, true);
-        std::string sentence;
-        for (int i = 1; i < argc; ++i) {
-            sentence += (i > 1 ? " " : "") + std::string(argv[i]);
-        }
-        if (sentence.starts_with("help")) {
-            const std::vector<std::string> words = split(sentence, ' ');
-            std::cout << helpText(words.size() > 1 ? words[1] : "");
-            return ExitDone;
-        }
-        if (!areFlagsUsable(sentence.empty())) {
-            return ExitUsage;
-        }
-        std::ifstream tokenFile(FLAGS_token_file);
-        std::string token;
-        if (!std::getline(tokenFile, token)) {
-            std::cerr << "sapphirectl: token file " << FLAGS_token_file << " can't be read\n";
-            return ExitUsage;
-        }
-        const OperatorClient client({ split(FLAGS_vms, ','), token, FLAGS_operator_name, Milliseconds(FLAGS_wait_ms) });
-        return sentence.empty() ? runInteractively(client) : runSentence(client, sentence);
+int run(int argc, char **argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::string sentence;
+    for (int i = 1; i < argc; ++i) {
+        sentence += (i > 1 ? " " : "") + std::string(argv[i]);
     }
+    if (sentence.starts_with("help")) {
+        const std::vector<std::string> words = split(sentence, ' ');
+        std::cout << helpText(words.size() > 1 ? words[1] : "");
+        return ExitDone;
+    }
+    if (!areFlagsUsable(sentence.empty())) {
+        return ExitUsage;
+    }
+    std::ifstream tokenFile(FLAGS_token_file);
+    std::string token;
+    if (!std::getline(tokenFile, token)) {
+        std::cerr << "sapphirectl: token file " << FLAGS_token_file << " can't be read\n";
+        return ExitUsage;
+    }
+    const OperatorClient client({ split(FLAGS_vms, ','), token, FLAGS_operator_name, Milliseconds(FLAGS_wait_ms) });
+    return sentence.empty() ? runInteractively(client) : runSentence(client, sentence);
+}
 
 } // namespace
 
