LibCore: Write log lines from a thread of their own

Cause: a reader of standard output that stands still blocked the thread that wrote a line, and with it requests.

--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -1,11 +1,15 @@
 #include <LibCore/EventLog.h>
 
 #include <LibCore/BootClock.h>
+#include <LibCore/LogWriter.h>
 
 #include <easylogging++.h>
 
 #include <array>
 #include <atomic>
+#include <memory>
+
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -15,6 +19,13 @@
 
 std::atomic<Severity> leastSeverity { Severity::Info };
 
+/// Null unless the log goes to standard output.
+std::unique_ptr<LogWriter> &standardOutputWriter()
+{
+    static std::unique_ptr<LogWriter> writer;
+    return writer;
+}
+
 std::string_view nameOf(Severity severity)
 {
     static constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
@@ -25,6 +36,11 @@
 
 void configureEventLog(const EventLogSettings &settings)
 {
+    leastSeverity = settings.least;
+    if (settings.isStandardOutput) {
+        standardOutputWriter() = std::make_unique<LogWriter>(STDOUT_FILENO, LogWriterSettings {});
+        return;
+    }
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -33,7 +49,13 @@
     configuration.setGlobally(el::ConfigurationType::Filename, settings.file.empty() ? "/dev/stderr" : settings.file);
     configuration.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
     el::Loggers::reconfigureLogger("default", configuration);
-    leastSeverity = settings.least;
+}
+
+void flushEventLog(Deadline deadline)
+{
+    if (standardOutputWriter()) {
+        standardOutputWriter()->flush(deadline);
+    }
 }
 
 std::string quoteJson(std::string_view text)
@@ -57,11 +79,8 @@
     return quoted;
 }
 
-void logEvent(const EventType &type, std::initializer_list<EventField> fields)
+std::string formatEvent(const EventType &type, std::initializer_list<EventField> fields)
 {
-    if (type.severity < leastSeverity.load(std::memory_order_relaxed)) {
-        return;
-    }
     std::string line = "{\"timeMicroseconds\":" + std::to_string(BootClock().wallTime().count());
     line += ",\"event\":" + std::to_string(type.number);
     line += ",\"name\":" + quoteJson(type.name);
@@ -69,7 +88,19 @@
     for (const EventField &field : fields) {
         line += "," + quoteJson(field.name()) + ":" + quoteJson(field.value());
     }
-    line += "}";
+    return line + "}";
+}
+
+void logEvent(const EventType &type, std::initializer_list<EventField> fields)
+{
+    if (type.severity < leastSeverity.load(std::memory_order_relaxed)) {
+        return;
+    }
+    const std::string line = formatEvent(type, fields);
+    if (standardOutputWriter()) {
+        standardOutputWriter()->write(type.severity, line, BootClock().now());
+        return;
+    }
     switch (type.severity) {
     case Severity::Debug:
     case Severity::Info:
--- a/Libraries/LibCore/EventLog.h
+++ b/Libraries/LibCore/EventLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Deadline.h>
 #include <LibCore/StrongId.h>
 
 #include <initializer_list>
@@ -71,10 +72,18 @@
     /// Empty for standard error.
     std::string file;
     Severity least { Severity::Info };
+    /// Writes to standard output instead, on a thread of its own, and drops lines rather than wait for the reader.
+    bool isStandardOutput { false };
 };
 
 void configureEventLog(const EventLogSettings &settings);
+/// Waits until the lines so far are written, at most until the deadline.
+void flushEventLog(Deadline deadline);
 
+inline constexpr EventType logLinesDropped { 1000, "log-lines-dropped", Severity::Warning };
+
+/// Returns the event as a line of JSON, without its end.
+std::string formatEvent(const EventType &type, std::initializer_list<EventField> fields);
 /// Writes one event as a line of JSON. May be called from any thread.
 void logEvent(const EventType &type, std::initializer_list<EventField> fields);
 
--- a/Libraries/LibCore/Hash.cpp
+++ b/Libraries/LibCore/Hash.cpp
@@ -3,7 +3,9 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace Sapphire {
 
@@ -53,7 +55,20 @@
 
 std::uint64_t rendezvousRank(std::string_view key, std::string_view candidate)
 {
-    return mix(stableHash(key) ^ (stableHash(candidate) * fnvPrime));
+    return rendezvousRank(stableHash(key), stableHash(candidate));
+}
+
+std::uint64_t rendezvousRank(std::uint64_t keyHash, std::uint64_t candidateHash)
+{
+    return mix(keyHash ^ (candidateHash * fnvPrime));
+}
+
+double weightedRank(std::uint64_t rank, double weight)
+{
+    // Weighted rendezvous hashing: -weight / ln(u) for u spread evenly over (0, 1).
+    constexpr double span = 18446744073709551616.0;
+    const double unit = (static_cast<double>(rank) + 0.5) / span;
+    return -weight / std::log(std::min(unit, 1 - 1e-12));
 }
 
 bool constantTimeEquals(std::string_view left, std::string_view right)
--- a/Tests/LibCore/TestEventCatalogue.cpp
+++ b/Tests/LibCore/TestEventCatalogue.cpp
@@ -98,20 +98,33 @@
     return faults;
 }
 
+bool definesEvents(const std::filesystem::path &file)
+{
+    const std::string name = file.filename().string();
+    return name.ends_with("Events.h") || name == "EventLog.h";
+}
+
+void addEventsOf(const std::filesystem::path &header, std::vector<FoundEvent> &events)
+{
+    const std::string text = contentOf(header);
+    const std::vector<FoundEvent> found = eventsOfHeader(text, header.string());
+    static const std::regex definition(R"(\bEventType\s+\w+\s*\{)");
+    const auto definitions =
+        std::distance(std::sregex_iterator(text.begin(), text.end(), definition), std::sregex_iterator());
+    // A definition in another form would otherwise go uncompared.
+    CHECK_MESSAGE(found.size() == static_cast<std::size_t>(definitions),
+                  header.string() << " defines an event in a form that this test can't read");
+    events.insert(events.end(), found.begin(), found.end());
+}
+
 std::vector<FoundEvent> eventsOfAllHeaders()
 {
     std::vector<FoundEvent> events;
-    for (const auto &entry : std::filesystem::recursive_directory_iterator("Libraries")) {
-        if (entry.path().filename().string().ends_with("Events.h")) {
-            const std::string text = contentOf(entry.path());
-            const std::vector<FoundEvent> found = eventsOfHeader(text, entry.path().string());
-            static const std::regex definition(R"(\bEventType\s+\w+\s*\{)");
-            const auto definitions =
-                std::distance(std::sregex_iterator(text.begin(), text.end(), definition), std::sregex_iterator());
-            // A definition in another form would otherwise go uncompared.
-            CHECK_MESSAGE(found.size() == static_cast<std::size_t>(definitions),
-                          entry.path().string() << " defines an event in a form that this test can't read");
-            events.insert(events.end(), found.begin(), found.end());
+    for (const char *const root : { "Libraries", "platform" }) {
+        for (const auto &entry : std::filesystem::recursive_directory_iterator(root)) {
+            if (definesEvents(entry.path())) {
+                addEventsOf(entry.path(), events);
+            }
         }
     }
     return events;
