LibExchange, LibTarget: Keep the headers of one connection in one place

Cause: which headers belong to one connection stood in LibTarget alone, and the gateway needs the same list.

--- a/Libraries/LibTarget/HeaderFilter.cpp
+++ b/Libraries/LibTarget/HeaderFilter.cpp
@@ -1,7 +1,8 @@
 #include <LibTarget/HeaderFilter.h>
 
+#include <LibExchange/ConnectionHeaders.h>
+
 #include <Poco/String.h>
-#include <Poco/StringTokenizer.h>
 
 #include <algorithm>
 #include <array>
@@ -10,12 +11,6 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 10> connectionHeaders {
-    "connection",          "keep-alive",       "proxy-authenticate",
-    "proxy-authorization", "proxy-connection", "te",
-    "transfer-encoding",   "trailer",          "upgrade",
-    "content-length",
-};
 // The exchange sets these itself, or they would change how it talks to the target.
 constexpr std::array<std::string_view, 7> ownRequestHeaders {
     "authorization", "host", "expect", "request-timeout-ms", "traceparent", "tracestate", "idempotency-key",
@@ -48,29 +43,13 @@
 bool mayPassToTarget(std::string_view name)
 {
     const std::string lower = lowerCase(name);
-    return !contains(connectionHeaders, lower) && !contains(ownRequestHeaders, lower) && !lower.starts_with(ownPrefix);
+    return !isConnectionHeader(lower) && !contains(ownRequestHeaders, lower) && !lower.starts_with(ownPrefix);
 }
 
 bool mayPassToCaller(std::string_view name)
 {
     const std::string lower = lowerCase(name);
-    return !contains(connectionHeaders, lower) && !lower.starts_with(ownPrefix);
-}
-
-std::vector<std::string> connectionOptions(const std::vector<HeaderField> &headers)
-{
-    std::vector<std::string> options;
-    for (const HeaderField &header : headers) {
-        if (Poco::icompare(header.name, "Connection") != 0) {
-            continue;
-        }
-        const Poco::StringTokenizer names(header.value, ",",
-                                          Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-        for (const std::string &name : names) {
-            options.push_back(lowerCase(name));
-        }
-    }
-    return options;
+    return !isConnectionHeader(lower) && !lower.starts_with(ownPrefix);
 }
 
 } // namespace Sapphire
--- a/Libraries/LibTarget/HeaderFilter.h
+++ b/Libraries/LibTarget/HeaderFilter.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include <LibExchange/Messages.h>
-
 #include <string_view>
-#include <vector>
 
 namespace Sapphire {
 
@@ -14,7 +11,5 @@
 bool mayPassToTarget(std::string_view name);
 /// Returns whether an answer header of a target may go to the caller.
 bool mayPassToCaller(std::string_view name);
-/// Returns the names that the Connection headers list (RFC 9110, section 7.6.1).
-std::vector<std::string> connectionOptions(const std::vector<HeaderField> &headers);
 
 } // namespace Sapphire
--- a/Libraries/LibTarget/TargetAttempt.cpp
+++ b/Libraries/LibTarget/TargetAttempt.cpp
@@ -1,5 +1,6 @@
 #include <LibTarget/TargetAttempt.h>
 
+#include <LibExchange/ConnectionHeaders.h>
 #include <LibTarget/HeaderFilter.h>
 
 #include <Poco/Net/HTTPRequest.h>
