--- a/Libraries/LibCaller/RegionRouter.cpp
+++ b/Libraries/LibCaller/RegionRouter.cpp
@@ -117,12 +117,21 @@
 {
     const std::lock_guard guard(m_mutex);
     m_suspects.noteCrash(fingerprint, wasAlone, m_parts.clock.now());
+    m_onSuspect();
 }
 
 void RegionRouter::mergeSuspect(const CrashSuspect &suspect)
 {
     const std::lock_guard guard(m_mutex);
-    m_suspects.merge(suspect, m_parts.clock.now());
+    if (m_suspects.merge(suspect, m_parts.clock.now())) {
+        m_onSuspect();
+    }
+}
+
+void RegionRouter::setSuspectListener(std::function<void()> listener)
+{
+    const std::lock_guard guard(m_mutex);
+    m_onSuspect = std::move(listener);
 }
 
 std::vector<CrashSuspect> RegionRouter::suspectsSeenAfter(TimePoint after) const
--- a/Libraries/LibCaller/RegionRouter.h
+++ b/Libraries/LibCaller/RegionRouter.h
@@ -47,6 +47,8 @@
 
     void noteCrash(const Fingerprint &fingerprint, bool wasAlone);
     void mergeSuspect(const CrashSuspect &suspect);
+    /// Sets a function that is called when a suspect is new or worse. It must not call the router.
+    void setSuspectListener(std::function<void()> listener);
     std::vector<CrashSuspect> suspectsSeenAfter(TimePoint after) const;
     /// Returns whether a retry of the request may be made, and accounts for it.
     bool tryRetry(const RequestHead &head, const Fingerprint &fingerprint);
@@ -69,6 +71,7 @@
     std::vector<RegionRoom> m_rooms;
     RetryBudget m_retryBudget;
     CrashSuspects m_suspects;
+    std::function<void()> m_onSuspect { [] {} };
 };
 
 /// Returns the identity of a request for the search for requests that crash targets. The body counts as far as given.
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -116,6 +116,7 @@
 
 Daemon::~Daemon()
 {
+    m_router.setSuspectListener([] {});
     m_duties.clear();
     m_operatorServer.reset();
     m_guard.shutDownAll();
@@ -181,6 +182,10 @@
     add("gossip", gossipInterval, [this] {
         gossip();
     });
+    // A request that crashes targets may reach another VM before the next exchange is due.
+    m_router.setSuspectListener([duty = m_duties.back().get()] {
+        duty->runSoon();
+    });
     add("allotment", allotmentInterval, [this] {
         keepAllotments();
     });
@@ -256,7 +261,7 @@
         m_targetsVms = vmsOfRegion;
     }
     m_targets.tick();
-    m_router.adjust(m_knowledge.rooms(now), [this](const ServiceId &service) {
+    m_router.adjust(m_knowledge.currentRooms(now), [this](const ServiceId &service) {
         return m_targets.isSlow(service);
     });
 }
--- a/Libraries/LibDaemon/DutyThread.cpp
+++ b/Libraries/LibDaemon/DutyThread.cpp
@@ -30,12 +30,21 @@
         const std::lock_guard guard(m_mutex);
         m_isStopping = true;
     }
-    m_stopped.notify_all();
+    m_changed.notify_all();
     if (m_thread.joinable()) {
         m_thread.join();
     }
 }
 
+void DutyThread::runSoon()
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        m_isDue = true;
+    }
+    m_changed.notify_all();
+}
+
 void DutyThread::run()
 {
     while (true) {
@@ -46,10 +55,11 @@
             logEvent(DaemonEvents::dutyFailed, { { "duty", m_name }, { "what", exception.what() } });
         }
         std::unique_lock lock(m_mutex);
-        const bool isStopping = m_stopped.wait_until(lock, next, [this] {
-            return m_isStopping;
+        m_changed.wait_until(lock, next, [this] {
+            return m_isStopping || m_isDue;
         });
-        if (isStopping) {
+        m_isDue = false;
+        if (m_isStopping) {
             return;
         }
     }
--- a/Libraries/LibDaemon/DutyThread.h
+++ b/Libraries/LibDaemon/DutyThread.h
@@ -19,6 +19,8 @@
     ~DutyThread();
 
     void stop();
+    /// Runs the duty again at once. Any thread may call it.
+    void runSoon();
 
 private:
     void run();
@@ -27,8 +29,9 @@
     Milliseconds m_interval;
     std::function<void()> m_duty;
     std::mutex m_mutex;
-    std::condition_variable m_stopped;
+    std::condition_variable m_changed;
     bool m_isStopping { false };
+    bool m_isDue { false };
     std::thread m_thread;
 };
 
--- a/Libraries/LibDaemon/RegionKnowledge.cpp
+++ b/Libraries/LibDaemon/RegionKnowledge.cpp
@@ -33,12 +33,34 @@
 {
     std::vector<RegionRoom> result = m_targets.rooms();
     const std::lock_guard guard(m_mutex);
+    for (RegionRoom &room : result) {
+        const auto average = m_ownRooms.find(room.service);
+        if (average != m_ownRooms.end()) {
+            room = average->second.stated(room);
+        }
+    }
+    addHeardRooms(result, now);
+    return result;
+}
+
+std::vector<RegionRoom> RegionKnowledge::currentRooms(TimePoint now)
+{
+    std::vector<RegionRoom> result = m_targets.rooms();
+    const std::lock_guard guard(m_mutex);
+    for (const RegionRoom &room : result) {
+        m_ownRooms[room.service].note(room);
+    }
+    addHeardRooms(result, now);
+    return result;
+}
+
+void RegionKnowledge::addHeardRooms(std::vector<RegionRoom> &rooms, TimePoint now) const
+{
     for (const auto &[key, room] : m_rooms) {
         if (now - room.statedAt <= roomLifetime) {
-            result.push_back(room);
+            rooms.push_back(room);
         }
     }
-    return result;
 }
 
 void RegionKnowledge::takeRoom(const RegionRoom &room, TimePoint)
--- a/Libraries/LibFleet/ExchangeBuilder.cpp
+++ b/Libraries/LibFleet/ExchangeBuilder.cpp
@@ -199,6 +199,7 @@
         request.add_wanted(key);
     }
     record.wanted.clear();
+    writeNewSuspects(*request.mutable_update(), now);
     return request;
 }
 
@@ -227,6 +228,9 @@
     }
     // The statement in a request may have been under way for long, so its moment is not known and it is not taken.
     mergeMembers(message, record, now);
+    for (const CrashSuspect &suspect : message.suspects) {
+        m_suspects.takeSuspect(suspect, now);
+    }
     const std::set<WireKey> wanted(request.wanted().begin(), request.wanted().end());
     wire::Update &update = *response.mutable_update();
     writeOwn(update, now);
@@ -485,6 +489,18 @@
     }
 }
 
+void ExchangeBuilder::writeNewSuspects(wire::Update &update, TimePoint now) const
+{
+    // Responses carry suspects only to VMs that ask, which may be too late for one that was seen a moment ago.
+    constexpr Milliseconds newTime { 3'000 };
+    for (const CrashSuspect &suspect : m_suspects.suspects(now)) {
+        const bool isNew = now - suspect.lastSeenAt <= newTime;
+        if (isNew && static_cast<std::size_t>(update.suspects_size()) < m_settings.itemLimit) {
+            encode(suspect, now, *update.add_suspects());
+        }
+    }
+}
+
 void ExchangeBuilder::mergeConfiguration(const Message &message)
 {
     if (!message.entries.empty()) {
--- a/Libraries/LibFleet/ExchangeBuilder.h
+++ b/Libraries/LibFleet/ExchangeBuilder.h
@@ -93,6 +93,8 @@
     void writeRooms(wire::Update &update, PeerRecord &record, const Relation &relation, const wire::Heartbeats &heard,
                     TimePoint now) const;
     void writeSuspects(wire::Update &update, PeerRecord &record, TimePoint now) const;
+    /// Writes the suspects of the last moments, for VMs that have not asked for them.
+    void writeNewSuspects(wire::Update &update, TimePoint now) const;
 
     void mergeConfiguration(const Message &message);
     void mergeMembers(const Message &message, PeerRecord &record, TimePoint now);
--- a/Libraries/LibLimit/CustomerAccount.h
+++ b/Libraries/LibLimit/CustomerAccount.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibCore/Ids.h>
-#include <LibLimit/DemandMeter.h>
 #include <LibSteering/AllotmentPolicy.h>
+#include <LibSteering/DemandMeter.h>
 #include <LibSteering/HomeSet.h>
 #include <LibSteering/LoanBook.h>
 #include <LibSteering/TokenBucket.h>
--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -327,11 +327,7 @@
     m_listedVms = m_roster.listedVms().size();
     if (candidates != m_candidates || m_candidateGeneration == 0) {
         m_candidates = std::move(candidates);
-        std::set<RegionId> candidateRegions;
-        for (const HomeCandidate &candidate : m_candidates) {
-            candidateRegions.insert(candidate.region);
-        }
-        m_regionCount = static_cast<int>(candidateRegions.size());
+        m_candidatesByRegion = VmsByRegion(m_candidates);
         ++m_candidateGeneration;
     }
 }
@@ -344,10 +340,11 @@
         knownLoad += entry.demand;
     }
     load = std::max(load, knownLoad);
-    const int size = HomeSet::nextSize(account.homeSize, load, account.burst, m_regionCount, m_settings.homeSet);
+    const int size = HomeSet::nextSize(account.homeSize, load, account.burst,
+                                       static_cast<int>(m_candidatesByRegion.regionCount()), m_settings.homeSet);
     if (size != account.homeSize || account.candidateGeneration != m_candidateGeneration) {
         account.homeSize = size;
-        account.homes = HomeSet::choose(customer, m_candidates, size);
+        account.homes = HomeSet::choose(customer, m_candidatesByRegion, size);
         account.candidateGeneration = m_candidateGeneration;
     }
     updateLenders(account);
--- a/Libraries/LibLimit/CustomerLimiter.h
+++ b/Libraries/LibLimit/CustomerLimiter.h
@@ -106,7 +106,7 @@
     TimePoint m_startsAt; ///< No bucket fills earlier.
     mutable std::map<CustomerId, CustomerAccount> m_accounts;
     mutable std::vector<HomeCandidate> m_candidates;
-    mutable int m_regionCount { 0 }; ///< Of the candidates.
+    mutable VmsByRegion m_candidatesByRegion;
     mutable std::map<VmId, RegionId> m_regions;
     mutable std::set<VmId> m_unableToLend; ///< Suspect or not fresh.
     mutable std::uint64_t m_candidateGeneration { 0 };
--- a/Libraries/LibSteering/CrashSuspects.cpp
+++ b/Libraries/LibSteering/CrashSuspects.cpp
@@ -49,20 +49,19 @@
     return found != m_answered.end() && now - found->second <= memory;
 }
 
-void CrashSuspects::merge(const CrashSuspect &suspect, TimePoint now)
+bool CrashSuspects::merge(const CrashSuspect &suspect, TimePoint now)
 {
     if (now - suspect.lastSeenAt > memory) {
-        return;
+        return false;
     }
     const auto found = m_suspects.find(suspect.fingerprint);
     if (found == m_suspects.end()) {
-        if (m_suspects.size() < mostSuspects) {
-            m_suspects.emplace(suspect.fingerprint, suspect);
-        }
-        return;
+        return m_suspects.size() < mostSuspects && m_suspects.emplace(suspect.fingerprint, suspect).second;
     }
+    const bool isNews = suspect.crashes > found->second.crashes;
     found->second.lastSeenAt = std::max(found->second.lastSeenAt, suspect.lastSeenAt);
     found->second.crashes = std::max(found->second.crashes, suspect.crashes);
+    return isNews;
 }
 
 bool CrashSuspects::isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const
--- a/Libraries/LibSteering/CrashSuspects.h
+++ b/Libraries/LibSteering/CrashSuspects.h
@@ -16,8 +16,13 @@
     /// Notes that a target answered the request. A request that targets have answered is blamed only if several die one
     /// after the other without an answer in between: many callers may read the same path while a region fails.
     void noteAnswered(const Fingerprint &fingerprint, TimePoint now);
-    /// Takes what another VM remembers.
-    void merge(const CrashSuspect &suspect, TimePoint now);
+    /// Takes what another VM remembers. Returns whether it was news.
+    bool merge(const CrashSuspect &suspect, TimePoint now);
+    /// Returns whether the request was running when a target died.
+    bool isSuspected(const Fingerprint &fingerprint) const
+    {
+        return m_suspects.contains(fingerprint);
+    }
     /// Returns whether the request must not be sent to a target.
     bool isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const;
     /// Returns the suspects seen after the given time, for passing on.
--- /dev/null
+++ b/Libraries/LibSteering/EventWindow.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+
+#include <deque>
+
+namespace Sapphire {
+
+/// The times of events in a window that ends now.
+class EventWindow
+{
+public:
+    void note(TimePoint at)
+    {
+        m_times.push_back(at);
+    }
+    /// Forgets events before the window begins. Returns how many are left.
+    std::size_t advance(TimePoint begin)
+    {
+        while (!m_times.empty() && m_times.front() < begin) {
+            m_times.pop_front();
+        }
+        return m_times.size();
+    }
+
+private:
+    std::deque<TimePoint> m_times; ///< The oldest is first.
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/FailureTracker.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+
+namespace Sapphire {
+
+/// Decides from the outcomes of a target's requests whether it gets work. After failures in a row it is out, and one
+/// health check at a time shows whether it works again.
+class FailureTracker
+{
+public:
+    void noteSuccess();
+    /// Returns whether the failure takes the target out.
+    bool noteFailure(TimePoint now);
+    /// Takes the target out at once, since it accepts no connections.
+    void noteUnreachable(TimePoint now);
+
+    /// Whether the target gets no work.
+    bool isOut() const
+    {
+        return m_isOut;
+    }
+    /// When the target may be checked next; meaningful while it is out.
+    Deadline nextCheckAt() const
+    {
+        return m_outUntil;
+    }
+
+private:
+    void takeOut(TimePoint now);
+
+    int m_failuresInRow { 0 };
+    int m_timesOut { 0 }; ///< Since it last worked; each doubles the time out.
+    bool m_isOut { false };
+    Deadline m_outUntil;
+};
+
+} // namespace Sapphire
--- a/Libraries/LibSteering/HomeSet.cpp
+++ b/Libraries/LibSteering/HomeSet.cpp
@@ -4,33 +4,12 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace Sapphire {
 
-std::vector<HomeCandidate> HomeSet::choose(const CustomerId &customer, const std::vector<HomeCandidate> &candidates,
-                                           int size)
+std::vector<HomeCandidate> HomeSet::choose(const CustomerId &customer, const VmsByRegion &candidates, int size)
 {
-    struct Ranked
-    {
-        std::uint64_t rank;
-        HomeCandidate candidate;
-    };
-    std::map<RegionId, std::vector<Ranked>> regions;
-    for (const HomeCandidate &candidate : candidates) {
-        regions[candidate.region].push_back({ rendezvousRank(customer.text(), candidate.vm.text()), candidate });
-    }
-    std::vector<HomeCandidate> chosen;
-    for (auto &[region, ranked] : regions) {
-        std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
-            return left.rank != right.rank ? left.rank > right.rank : left.candidate.vm < right.candidate.vm;
-        });
-        const std::size_t count = std::min(ranked.size(), static_cast<std::size_t>(std::max(1, size)));
-        for (std::size_t i = 0; i < count; ++i) {
-            chosen.push_back(ranked[i].candidate);
-        }
-    }
-    return chosen;
+    return candidates.highestRanked(stableHash(customer.text()), static_cast<std::size_t>(std::max(1, size)));
 }
 
 int HomeSet::nextSize(int current, double requestsPerSecond, double burst, int regions, const HomeSetSettings &settings)
--- a/Libraries/LibSteering/HomeSet.h
+++ b/Libraries/LibSteering/HomeSet.h
@@ -1,19 +1,9 @@
 #pragma once
 
-#include <LibCore/Ids.h>
-
-#include <vector>
+#include <LibSteering/VmsByRegion.h>
 
 namespace Sapphire {
 
-struct HomeCandidate
-{
-    VmId vm;
-    RegionId region;
-
-    friend bool operator==(const HomeCandidate &, const HomeCandidate &) = default;
-};
-
 struct HomeSetSettings
 {
     /// A customer gets another home VM per region for each such number of requests a second in the fleet.
@@ -29,8 +19,7 @@
 {
 public:
     /// Returns up to `size` VMs of each region, ranked within their region, regions in order of their names.
-    static std::vector<HomeCandidate> choose(const CustomerId &customer, const std::vector<HomeCandidate> &candidates,
-                                             int size);
+    static std::vector<HomeCandidate> choose(const CustomerId &customer, const VmsByRegion &candidates, int size);
     /// Returns the size per region that follows from the load, given the current one.
     static int nextSize(int current, double requestsPerSecond, double burst, int regions,
                         const HomeSetSettings &settings);
--- /dev/null
+++ b/Libraries/LibSteering/QuotaBook.cpp
@@ -0,0 +1,65 @@
+#include <LibSteering/QuotaBook.h>
+
+#include <unordered_set>
+
+namespace Sapphire {
+
+QuotaBook::QuotaBook(VmId own, QuotaSettings settings) : m_own(std::move(own)), m_settings(settings)
+{
+}
+
+void QuotaBook::applyRules(const RefPointer<const ServingRules> &rules, TimePoint now)
+{
+    m_rules = rules;
+    std::unordered_set<CustomerId> present;
+    for (const CustomerRules &customer : rules->customers()) {
+        present.insert(customer.id);
+        m_quotas.try_emplace(customer.id, now);
+    }
+    std::erase_if(m_quotas, [&present](const auto &entry) {
+        return !present.contains(entry.first);
+    });
+    reconfigure(now);
+}
+
+void QuotaBook::applyVms(const VmsByRegion &vms, TimePoint now)
+{
+    m_vms = vms;
+    reconfigure(now);
+}
+
+void QuotaBook::configure(const QuotaSettings &settings, TimePoint now)
+{
+    m_settings = settings;
+    reconfigure(now);
+}
+
+void QuotaBook::reconfigure(TimePoint now)
+{
+    // Without the list of VMs this one can't know its share.
+    if (!m_rules || m_vms.isEmpty()) {
+        return;
+    }
+    for (const CustomerRules &customer : m_rules->customers()) {
+        m_quotas.at(customer.id).configure(quotaTerms(customer, m_settings, m_vms), m_own, now);
+    }
+}
+
+CustomerQuota *QuotaBook::find(const CustomerId &customer)
+{
+    const auto found = m_quotas.find(customer);
+    return found == m_quotas.end() ? nullptr : &found->second;
+}
+
+std::vector<CustomerId> QuotaBook::shortOfTokens(TimePoint now)
+{
+    std::vector<CustomerId> customers;
+    for (auto &[id, quota] : m_quotas) {
+        if (quota.wanted(now) > Tokens(0)) {
+            customers.push_back(id);
+        }
+    }
+    return customers;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/QuotaBook.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibSteering/CustomerQuota.h>
+
+#include <unordered_map>
+
+namespace Sapphire {
+
+/// This VM's part of all customers' quotas.
+class QuotaBook
+{
+public:
+    QuotaBook(VmId own, QuotaSettings settings);
+
+    /// Takes the rules that limit customers. Customers that are gone are forgotten.
+    void applyRules(const RefPointer<const ServingRules> &rules, TimePoint now);
+    /// Takes all VMs among which quotas are divided.
+    void applyVms(const VmsByRegion &vms, TimePoint now);
+    void configure(const QuotaSettings &settings, TimePoint now);
+
+    /// Returns null for an unknown customer.
+    CustomerQuota *find(const CustomerId &customer);
+    /// The customers for which tokens should be borrowed now.
+    std::vector<CustomerId> shortOfTokens(TimePoint now);
+
+private:
+    void reconfigure(TimePoint now);
+
+    VmId m_own;
+    QuotaSettings m_settings;
+    RefPointer<const ServingRules> m_rules;
+    VmsByRegion m_vms;
+    std::unordered_map<CustomerId, CustomerQuota> m_quotas;
+};
+
+} // namespace Sapphire
--- a/Libraries/LibSteering/RegionSteering.cpp
+++ b/Libraries/LibSteering/RegionSteering.cpp
@@ -34,7 +34,7 @@
 
 void RegionSteering::adjust(const Observation &observation, TimePoint now, RandomSource &random)
 {
-    updateAllowances(observation, random);
+    updateAllowances(observation, now, random);
     if (m_hasStarted && !m_nextAdjustment.hasPassed(now)) {
         return;
     }
@@ -124,7 +124,7 @@
     });
 }
 
-void RegionSteering::updateAllowances(const Observation &observation, RandomSource &random)
+void RegionSteering::updateAllowances(const Observation &observation, TimePoint now, RandomSource &random)
 {
     m_allowances.clear();
     const double vms = static_cast<double>(std::max<std::size_t>(1, observation.vmsOutside));
@@ -135,12 +135,12 @@
         }
         const double limit =
             static_cast<double>(m_settings.regionLimit.value()) / static_cast<double>(wholeShare.value()) * room->slots;
-        const auto running = m_running.find(region);
-        const int own = running == m_running.end() ? 0 : running->second;
-        const double spare = std::max(0.0, limit - room->busy) / vms;
+        MovingAverage &own = m_usualRunning.try_emplace(region, RoomAverage::timeConstant).first->second;
+        own.note(m_running[region], now);
+        const double allowed = own.value() + std::max(0.0, limit - room->busy) / vms;
         // A fraction of a slot is granted with its probability, so that the VMs together use what is spare.
-        const double whole = std::floor(spare);
-        m_allowances[region] = own + static_cast<int>(whole) + (random.unit() < spare - whole ? 1 : 0);
+        const double whole = std::floor(allowed);
+        m_allowances[region] = static_cast<int>(whole) + (random.unit() < allowed - whole ? 1 : 0);
     }
 }
 
--- a/Libraries/LibSteering/RegionSteering.h
+++ b/Libraries/LibSteering/RegionSteering.h
@@ -3,7 +3,7 @@
 #include <LibCore/Deadline.h>
 #include <LibCore/Ids.h>
 #include <LibCore/RandomSource.h>
-#include <LibSteering/TargetReport.h>
+#include <LibSteering/RoomAverage.h>
 
 #include <map>
 #include <optional>
@@ -62,7 +62,7 @@
 private:
     std::map<RegionId, std::int64_t> wantedWeights(const Observation &observation) const;
     void moveTowards(const std::map<RegionId, std::int64_t> &wanted);
-    void updateAllowances(const Observation &observation, RandomSource &random);
+    void updateAllowances(const Observation &observation, TimePoint now, RandomSource &random);
     static const RegionRoom *roomOf(const Observation &observation, const RegionId &region);
 
     RegionSteeringSettings m_settings;
@@ -73,6 +73,8 @@
     /// Requests that this VM may have running in another region at once.
     std::map<RegionId, int> m_allowances;
     std::map<RegionId, int> m_running;
+    /// The running requests averaged as the regions average theirs, of which these are a part.
+    std::map<RegionId, MovingAverage> m_usualRunning;
     int m_triedInOwnRegion { 0 };
     int m_refusedInOwnRegion { 0 };
 };
--- /dev/null
+++ b/Libraries/LibSteering/RequestQueueing.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+
+namespace Sapphire {
+
+/// The times of a request that decide whether it waits.
+struct RequestTimes
+{
+    TimePoint arrivedAt {};
+    Deadline wantedBy {}; ///< When its answer is late.
+    Deadline giveUpAt {}; ///< When its answer is of no use any more.
+    Deadline callerDeadline {}; ///< Until which its caller may try again.
+    Microseconds timeout {}; ///< Of its route.
+};
+
+/// What the best target promises a request.
+struct AnswerForecast
+{
+    Microseconds time {}; ///< Until the answer.
+    bool hasFreeSlot { false }; ///< Whether the target is expected to begin at once.
+    bool isWorkKnown { true }; ///< Whether the time rests on answers of the request's route.
+};
+
+/// Decides whether a request is sent, waits at this VM or is refused. Answers a load of more requests than slots: those
+/// that will be late anyway leave the queues of the targets to those that can still be on time, and those that can't
+/// end in time are refused while their callers still have time to come back.
+class RequestQueueing
+{
+public:
+    /// Whether a new request is refused at once, since the best target can't answer it in time.
+    static bool isBeyondReach(const RequestTimes &times, const AnswerForecast &forecast, TimePoint now);
+    /// Whether a request goes to the best target now; it waits otherwise.
+    static bool maySend(const RequestTimes &times, const AnswerForecast &forecast, TimePoint now);
+    /// Whether the answer comes before it is late.
+    static bool isOnTime(const RequestTimes &times, const AnswerForecast &forecast, TimePoint now);
+    /// Whether a waiting request has no prospect left. The work is the shortest that a target may need for it.
+    static bool isHopeless(const RequestTimes &times, Microseconds work, TimePoint now);
+    /// When a refused caller may come back with the best prospect: early enough to be served, and spread by a random
+    /// number in [0, 1) so that the callers don't return together.
+    static Deadline retryAt(const RequestTimes &times, double random, TimePoint now);
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/ServingRules.cpp
@@ -0,0 +1,69 @@
+#include <LibSteering/ServingRules.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace Sapphire {
+
+namespace {
+
+std::string hostWithoutPort(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return name;
+}
+
+} // namespace
+
+ServingRules::ServingRules(Content content) : m_content(std::move(content))
+{
+    for (std::size_t i = 0; i < m_content.routes.size(); ++i) {
+        const Route &route = m_content.routes[i];
+        m_routesByHost[hostWithoutPort(route.host)].emplace(route.pathPrefix, i);
+    }
+    for (std::size_t i = 0; i < m_content.customers.size(); ++i) {
+        for (const std::string &keyHash : m_content.customers[i].keyHashes) {
+            m_customersByKeyHash.emplace(keyHash, i);
+        }
+    }
+    for (std::size_t i = 0; i < m_content.services.size(); ++i) {
+        m_servicesById.emplace(m_content.services[i].id, i);
+    }
+}
+
+const Route *ServingRules::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_routesByHost.find(hostWithoutPort(host));
+    if (routes == m_routesByHost.end()) {
+        return nullptr;
+    }
+    // Prefixes end with a slash, so only the parts of the path up to one of its slashes can match.
+    std::size_t end = path.rfind('/');
+    while (end != std::string_view::npos) {
+        const auto found = routes->second.find(path.substr(0, end + 1));
+        if (found != routes->second.end()) {
+            return &m_content.routes[found->second];
+        }
+        end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const CustomerRules *ServingRules::findCustomer(std::string_view key) const
+{
+    const auto found = m_customersByKeyHash.find(sha256Hex(key));
+    return found == m_customersByKeyHash.end() ? nullptr : &m_content.customers[found->second];
+}
+
+const ServiceRules *ServingRules::findService(const ServiceId &service) const
+{
+    const auto found = m_servicesById.find(service);
+    return found == m_servicesById.end() ? nullptr : &m_content.services[found->second];
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/SharedReading.cpp
@@ -0,0 +1,85 @@
+#include <LibSteering/SharedReading.h>
+
+#include <algorithm>
+
+namespace Sapphire {
+
+bool SharedReading::isDue(TimePoint now, std::size_t rank) const
+{
+    if (m_isReading) {
+        return false;
+    }
+    const Microseconds sinceBegin = now - m_begunAt;
+    const Milliseconds retry = m_hasFailed ? m_settings.retryInterval : Milliseconds(0);
+    const bool isReader = rank == 0 || m_isActing;
+    const bool isReaderDue = isReader && sinceBegin >= std::max(m_settings.readerInterval, retry);
+    return isReaderDue || isLackingDue(now) || isUnconfirmed(now, rank);
+}
+
+bool SharedReading::isUnconfirmed(TimePoint now, std::size_t rank) const
+{
+    const auto steps = static_cast<std::int64_t>(std::max<std::size_t>(rank, 1) - 1);
+    const Milliseconds longest =
+        std::min(m_settings.longestUnconfirmed, m_settings.takeoverAfter + m_settings.takeoverStep * steps);
+    const Milliseconds interval = m_hasFailed ? m_settings.unconfirmedRetryInterval : longest;
+    return m_hasList && now - m_confirmedAt >= longest && now - m_begunAt >= interval;
+}
+
+bool SharedReading::isLackingDue(TimePoint now) const
+{
+    const Milliseconds retry = m_hasFailed ? m_settings.retryInterval : Milliseconds(0);
+    const Milliseconds interval = m_hasList ? m_settings.shortestInterval : retry;
+    return m_lacksSomething && m_helpUntil.hasPassed(now) && now - m_begunAt >= interval;
+}
+
+void SharedReading::noteBegun(TimePoint now, std::size_t rank)
+{
+    m_isActing = m_isActing || isUnconfirmed(now, rank);
+    m_isReading = true;
+    m_begunAt = now;
+}
+
+void SharedReading::noteFailed()
+{
+    m_isReading = false;
+    m_hasFailed = true;
+    m_isActing = false;
+}
+
+bool SharedReading::isHelpful(TimePoint confirmedAt) const
+{
+    // Times lose some milliseconds on their way from VM to VM.
+    constexpr Milliseconds tolerance { 100 };
+    return m_lacksSomething && confirmedAt >= m_confirmedAt && confirmedAt + tolerance >= m_wantedAt;
+}
+
+void SharedReading::noteRead(std::uint64_t digest, TimePoint begunAt)
+{
+    m_isReading = false;
+    m_hasFailed = false;
+    noteAdopted(digest, begunAt);
+}
+
+void SharedReading::noteAdopted(std::uint64_t digest, TimePoint confirmedAt)
+{
+    m_digest = digest;
+    m_hasList = true;
+    m_lacksSomething = false;
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+}
+
+void SharedReading::noteStatement(std::uint64_t digest, TimePoint readAt, TimePoint now)
+{
+    if (digest == m_digest) {
+        m_confirmedAt = std::max(m_confirmedAt, readAt);
+        m_lacksSomething = false;
+    } else if (readAt > m_confirmedAt) {
+        if (!m_lacksSomething) {
+            m_helpUntil = Deadline::after(now, m_settings.helpTime);
+        }
+        m_lacksSomething = true;
+        m_wantedAt = std::max(m_wantedAt, readAt);
+    }
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/TargetList.cpp
@@ -0,0 +1,258 @@
+#include <LibSteering/TargetList.h>
+
+#include <LibCore/Hash.h>
+
+#include <set>
+
+namespace Sapphire {
+
+namespace {
+
+// A target whose cold time moved by more than this has lost its caches again.
+constexpr Milliseconds coldTolerance { 500 };
+// Of a service's targets that must be listed for the missing ones to get no new work. If more are missing, it is
+// likelier that the store lost their entries than that they left.
+constexpr double listedPart = 2.0 / 3;
+
+std::uint64_t hashOf(const KnownTarget &target)
+{
+    return stableHash(target.id.text() + "\n" + target.service.text() + "\n" + target.address + "\n"
+                      + target.availabilityZone.text() + "\n" + std::to_string(target.slots) + "\n"
+                      + std::to_string(static_cast<int>(target.isDraining)) + "\n"
+                      + std::to_string(target.startedAtMilliseconds));
+}
+
+bool isSameContent(const KnownTarget &before, const KnownTarget &after)
+{
+    return before.service == after.service && before.address == after.address
+        && before.availabilityZone == after.availabilityZone && before.slots == after.slots
+        && before.isDraining == after.isDraining && before.startedAtMilliseconds == after.startedAtMilliseconds;
+}
+
+bool isNews(const KnownTarget &before, const KnownTarget &after, TimePoint now)
+{
+    const bool isColdAgain = after.coldUntil > now && after.coldUntil > before.coldUntil + coldTolerance;
+    return isColdAgain || !isSameContent(before, after);
+}
+
+} // namespace
+
+/// Collects what is new in a list while it changes, in parts of limited size.
+class TargetList::ChangeParts
+{
+public:
+    ChangeParts(const TargetList &list, std::size_t mostEntries) : m_list(list), m_mostEntries(mostEntries)
+    {
+        begin();
+    }
+
+    /// To be called after the list has taken the target.
+    void noteChanged(const KnownTarget &target)
+    {
+        m_parts.back().changed.push_back(target);
+        noteEntry();
+    }
+    /// To be called after the list has lost the target.
+    void noteRemoved(const TargetId &id)
+    {
+        m_parts.back().removed.push_back(id);
+        noteEntry();
+    }
+    std::vector<TargetListChange> take()
+    {
+        if (m_parts.size() > 1 && m_parts.back().entryCount() == 0) {
+            m_parts.pop_back();
+        }
+        return std::move(m_parts);
+    }
+
+private:
+    void begin()
+    {
+        m_parts.push_back({ m_list.digest(), m_list.digest(), {}, {} });
+    }
+    void noteEntry()
+    {
+        m_parts.back().digest = m_list.digest();
+        if (m_parts.back().entryCount() >= m_mostEntries) {
+            begin();
+        }
+    }
+
+    const TargetList &m_list;
+    std::size_t m_mostEntries;
+    std::vector<TargetListChange> m_parts;
+};
+
+std::size_t TargetList::bucketOf(const TargetId &id)
+{
+    return stableHash(id.text()) % bucketCount;
+}
+
+TargetList::Entry *TargetList::find(const TargetId &id)
+{
+    Bucket &bucket = m_buckets[bucketOf(id)];
+    const auto found = bucket.entries.find(id);
+    return found == bucket.entries.end() ? nullptr : &found->second;
+}
+
+TargetList::Entry &TargetList::set(const KnownTarget &target)
+{
+    Bucket &bucket = m_buckets[bucketOf(target.id)];
+    Entry &entry = bucket.entries[target.id];
+    // Digests are sums, so that an entry's part can be taken out again.
+    const std::uint64_t hash = hashOf(target);
+    bucket.digest += hash - entry.hash;
+    m_digest += hash - entry.hash;
+    entry.hash = hash;
+    entry.target = target;
+    return entry;
+}
+
+void TargetList::remove(const TargetId &id)
+{
+    Bucket &bucket = m_buckets[bucketOf(id)];
+    const auto found = bucket.entries.find(id);
+    if (found != bucket.entries.end()) {
+        bucket.digest -= found->second.hash;
+        m_digest -= found->second.hash;
+        bucket.entries.erase(found);
+    }
+}
+
+std::vector<TargetListChange> TargetList::applyWhole(const std::vector<KnownTarget> &targets, const AbsenceGrace &grace,
+                                                     TimePoint now, std::size_t mostEntries)
+{
+    ++m_listing;
+    ChangeParts parts(*this, mostEntries);
+    for (const KnownTarget &target : targets) {
+        Entry *const known = find(target.id);
+        if (known == nullptr || isNews(known->target, target, now)) {
+            set(target).listing = m_listing;
+            parts.noteChanged(target);
+        } else {
+            known->target.coldUntil = target.coldUntil;
+            known->target.sequence = target.sequence;
+            known->listing = m_listing;
+        }
+    }
+    if (grace.isOver(now)) {
+        removeMissing(parts);
+    } else {
+        holdBackMissing(parts);
+    }
+    return parts.take();
+}
+
+std::vector<TargetId> TargetList::missing() const
+{
+    std::vector<TargetId> missing;
+    for (const Bucket &bucket : m_buckets) {
+        for (const auto &[id, entry] : bucket.entries) {
+            if (entry.listing != m_listing) {
+                missing.push_back(id);
+            }
+        }
+    }
+    return missing;
+}
+
+void TargetList::removeMissing(ChangeParts &parts)
+{
+    for (const TargetId &id : missing()) {
+        remove(id);
+        parts.noteRemoved(id);
+    }
+}
+
+void TargetList::holdBackMissing(ChangeParts &parts)
+{
+    std::map<ServiceId, double> known;
+    std::map<ServiceId, double> present;
+    for (const Bucket &bucket : m_buckets) {
+        for (const auto &[id, entry] : bucket.entries) {
+            known[entry.target.service] += 1;
+            present[entry.target.service] += entry.listing == m_listing ? 1 : 0;
+        }
+    }
+    for (const TargetId &id : missing()) {
+        KnownTarget target = find(id)->target;
+        const bool isHeldBack = present[target.service] >= known[target.service] * listedPart;
+        if (isHeldBack && !target.isDraining) {
+            target.isDraining = true;
+            set(target);
+            parts.noteChanged(target);
+        }
+    }
+}
+
+bool TargetList::applyChange(const TargetListChange &change)
+{
+    if (change.base != m_digest) {
+        return false;
+    }
+    for (const KnownTarget &target : change.changed) {
+        set(target);
+    }
+    for (const TargetId &id : change.removed) {
+        remove(id);
+    }
+    return m_digest == change.digest;
+}
+
+TargetListChange TargetList::replaceBucket(std::size_t index, const std::vector<KnownTarget> &targets)
+{
+    TargetListChange change;
+    change.base = m_digest;
+    std::set<TargetId> present;
+    for (const KnownTarget &target : targets) {
+        if (bucketOf(target.id) != index) {
+            continue;
+        }
+        present.insert(target.id);
+        const Entry *const known = find(target.id);
+        if (known == nullptr || !isSameContent(known->target, target)) {
+            set(target);
+            change.changed.push_back(target);
+        }
+    }
+    for (const KnownTarget &known : bucket(index)) {
+        if (!present.contains(known.id)) {
+            remove(known.id);
+            change.removed.push_back(known.id);
+        }
+    }
+    change.digest = m_digest;
+    return change;
+}
+
+std::vector<KnownTarget> TargetList::targets() const
+{
+    std::vector<KnownTarget> targets;
+    for (std::size_t index = 0; index < bucketCount; ++index) {
+        for (KnownTarget &target : bucket(index)) {
+            targets.push_back(std::move(target));
+        }
+    }
+    return targets;
+}
+
+std::vector<KnownTarget> TargetList::bucket(std::size_t index) const
+{
+    std::vector<KnownTarget> targets;
+    for (const auto &[id, entry] : m_buckets[index].entries) {
+        targets.push_back(entry.target);
+    }
+    return targets;
+}
+
+TargetList::BucketDigests TargetList::bucketDigests() const
+{
+    BucketDigests digests {};
+    for (std::size_t index = 0; index < bucketCount; ++index) {
+        digests[index] = m_buckets[index].digest;
+    }
+    return digests;
+}
+
+} // namespace Sapphire
--- a/Libraries/LibSteering/TargetState.cpp
+++ b/Libraries/LibSteering/TargetState.cpp
@@ -168,7 +168,8 @@
     if (newest->inFlight < std::max(newest->slots, 1)) {
         m_contradictions = 0;
     }
-    const bool wasAway = m_wasReportedDown || saysDraining();
+    // A target that went on answering has kept its caches, whatever its health said.
+    const bool wasAway = (m_wasReportedDown && !hasSucceededLately(report.observedAt)) || saysDraining();
     m_wasReportedDown = newest->health == TargetHealth::Failing || newest->health == TargetHealth::Unreachable;
     if (report.health == TargetHealth::Draining) {
         m_drainingAt = std::max(m_drainingAt, report.observedAt);
@@ -232,8 +233,12 @@
         return false;
     }
     const bool saysDown = report->health == TargetHealth::Failing || report->health == TargetHealth::Unreachable;
-    const bool isDisproved = m_lastSuccessStart > TimePoint {} && now - m_lastSuccessStart < successLifetime;
-    return saysDown && !isDisproved;
+    return saysDown && !hasSucceededLately(now);
+}
+
+bool TargetState::hasSucceededLately(TimePoint now) const
+{
+    return m_lastSuccessStart > TimePoint {} && now - m_lastSuccessStart < successLifetime;
 }
 
 int TargetState::slots(TimePoint now) const
--- a/Libraries/LibSteering/TargetState.h
+++ b/Libraries/LibSteering/TargetState.h
@@ -103,6 +103,7 @@
     {
         return m_drainingAt > m_notDrainingAt;
     }
+    bool hasSucceededLately(TimePoint now) const;
     void noteAnswer(Microseconds latency, bool isError, TimePoint now);
     void noteShed(TimePoint now);
     void noteSuccess(TimePoint startedAt, int inFlightAtStart, TimePoint now);
--- /dev/null
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -0,0 +1,210 @@
+#include <LibSteering/VmRoster.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace Sapphire {
+
+VmRoster::VmRoster(VmId own, Place ownPlace, VmRosterSettings settings)
+    : m_own(std::move(own)), m_ownPlace(std::move(ownPlace)), m_settings(settings)
+{
+}
+
+void VmRoster::applyRecords(const std::vector<VmRecord> &records, TimePoint now)
+{
+    std::set<VmId> listed;
+    for (const VmRecord &record : records) {
+        listed.insert(record.vm);
+        const auto [entry, isNew] = m_entries.try_emplace(record.vm);
+        const bool isNewProcess = record.startedAtMilliseconds > entry->second.record.startedAtMilliseconds;
+        if (isNew || isNewProcess) {
+            // What an earlier process of this VM knew is lost, and VMs of its first list may have died long ago.
+            entry->second = { record, now, m_hasList ? now : TimePoint {}, {}, stableHash(record.vm.text()) };
+        }
+    }
+    if (!m_hasList) {
+        m_listedAt = now;
+    }
+    m_hasList = true;
+    std::erase_if(m_entries, [&listed](const auto &entry) {
+        return !listed.contains(entry.first);
+    });
+    findNearestRegion();
+}
+
+void VmRoster::noteHeard(const VmId &vm, std::int64_t startedAtMilliseconds, VmPresence presence, TimePoint now)
+{
+    const auto found = m_entries.find(vm);
+    if (found == m_entries.end() || startedAtMilliseconds < found->second.record.startedAtMilliseconds) {
+        return;
+    }
+    found->second.record.startedAtMilliseconds = startedAtMilliseconds;
+    found->second.heardAt = now;
+    found->second.presence = presence;
+}
+
+std::size_t VmRoster::count() const
+{
+    return std::max<std::size_t>(1, m_entries.size() + (m_entries.contains(m_own) ? 0 : 1));
+}
+
+std::vector<VmRecord> VmRoster::peersIn(const RegionId &region) const
+{
+    std::vector<VmRecord> peers;
+    for (const auto &[vm, entry] : m_entries) {
+        if (vm != m_own && entry.record.place.region == region) {
+            peers.push_back(entry.record);
+        }
+    }
+    return peers;
+}
+
+std::vector<RegionId> VmRoster::regions() const
+{
+    std::set<RegionId> regions;
+    for (const auto &[vm, entry] : m_entries) {
+        regions.insert(entry.record.place.region);
+    }
+    return { regions.begin(), regions.end() };
+}
+
+bool VmRoster::isServing(const VmId &vm, TimePoint now) const
+{
+    if (vm == m_own) {
+        return !m_ownPresence.isLeaving;
+    }
+    const auto found = m_entries.find(vm);
+    return found != m_entries.end() && !found->second.presence.isLeaving
+        && now - found->second.heardAt <= m_settings.longestSilence;
+}
+
+std::vector<VmRecord> VmRoster::serving(TimePoint now) const
+{
+    std::vector<VmRecord> serving;
+    for (const auto &[vm, entry] : m_entries) {
+        if (entry.record.place.region == m_ownPlace.region && isServing(vm, now)) {
+            serving.push_back(entry.record);
+        }
+    }
+    return serving;
+}
+
+bool VmRoster::isAvailable(const VmId &vm, TimePoint now) const
+{
+    const auto found = m_entries.find(vm);
+    if (found == m_entries.end() || found->second.record.place.region != m_ownPlace.region) {
+        return false;
+    }
+    const bool isUnheard = found->second.heardAt == TimePoint {} && now - m_listedAt < m_settings.startTime;
+    return isUnheard || isServing(vm, now);
+}
+
+std::vector<VmId> VmRoster::readersOf(std::string_view list, TimePoint now) const
+{
+    struct Ranked
+    {
+        bool canRead;
+        double score;
+        VmId vm;
+    };
+    const std::uint64_t key = stableHash(list);
+    std::vector<Ranked> ranked;
+    for (const auto &[vm, entry] : m_entries) {
+        if (isAvailable(vm, now)) {
+            const VmPresence &presence = vm == m_own ? m_ownPresence : entry.presence;
+            ranked.push_back({ !presence.cannotRead,
+                               weightedRank(rendezvousRank(key, entry.hash), entry.record.processorShare), vm });
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
+        return left.canRead != right.canRead ? left.canRead : left.score > right.score;
+    });
+    std::vector<VmId> readers;
+    readers.reserve(ranked.size());
+    for (Ranked &entry : ranked) {
+        readers.push_back(std::move(entry.vm));
+    }
+    return readers;
+}
+
+double VmRoster::readerScore(std::string_view list, const Entry &entry)
+{
+    return weightedRank(rendezvousRank(stableHash(list), entry.hash), entry.record.processorShare);
+}
+
+std::size_t VmRoster::readerRank(std::string_view list, bool isReadForAll, TimePoint now) const
+{
+    const std::vector<VmId> readers = readersOf(list, now);
+    const auto before = static_cast<std::size_t>(std::find(readers.begin(), readers.end(), m_own) - readers.begin());
+    return before + (isReadForAll && !isNearestToPlatform() ? 1 : 0);
+}
+
+std::vector<VmId> VmRoster::relaysOf(std::string_view list, const RegionId &region) const
+{
+    constexpr std::size_t mostRelays = 2;
+    std::vector<std::pair<double, VmId>> ranked;
+    for (const auto &[vm, entry] : m_entries) {
+        if (entry.record.place.region == region) {
+            ranked.emplace_back(readerScore(list, entry), vm);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<VmId> relays;
+    for (std::size_t i = 0; i < std::min(ranked.size(), mostRelays); ++i) {
+        relays.push_back(ranked[i].second);
+    }
+    return relays;
+}
+
+void VmRoster::findNearestRegion()
+{
+    m_nearestRegion = {};
+    Microseconds nearest = Microseconds::max();
+    for (const auto &[vm, entry] : m_entries) {
+        const Microseconds roundTrip = entry.record.platformRoundTrip;
+        if (roundTrip > Microseconds::zero() && roundTrip < nearest) {
+            nearest = roundTrip;
+            m_nearestRegion = entry.record.place.region;
+        }
+    }
+}
+
+VmId VmRoster::headOfZone(TimePoint now) const
+{
+    const std::uint64_t key = stableHash("head of zone " + m_ownPlace.availabilityZone.text());
+    VmId head;
+    double best = 0;
+    for (const auto &[vm, entry] : m_entries) {
+        const bool isInZone = entry.record.place.availabilityZone == m_ownPlace.availabilityZone;
+        const double score = weightedRank(rendezvousRank(key, entry.hash), entry.record.processorShare);
+        if (isInZone && isAvailable(vm, now) && score > best) {
+            head = vm;
+            best = score;
+        }
+    }
+    return head;
+}
+
+const VmRecord *VmRoster::find(const VmId &vm) const
+{
+    const auto found = m_entries.find(vm);
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+std::vector<VmId> VmRoster::silentFor(Milliseconds time, TimePoint now) const
+{
+    std::vector<VmId> silent;
+    for (const auto &[vm, entry] : m_entries) {
+        const bool isOwnRegion = entry.record.place.region == m_ownPlace.region;
+        if (vm != m_own && isOwnRegion && now - std::max(entry.heardAt, entry.listedAt) > time) {
+            silent.push_back(vm);
+        }
+    }
+    return silent;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/VmRoster.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <LibCore/Deadline.h>
+#include <LibSteering/VmRecord.h>
+
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace Sapphire {
+
+struct VmRosterSettings
+{
+    /// A VM of the own region that has been silent for longer is taken for dead. One that enters after the first list
+    /// counts as heard at that moment.
+    Milliseconds longestSilence { 2'600 };
+    /// After the first list, VMs that were not heard yet count as able to read for this long: all VMs may have started
+    /// at the same moment.
+    Milliseconds startTime { 1'200 };
+};
+
+/// What a VM says of itself with each heartbeat.
+struct VmPresence
+{
+    bool isLeaving { false }; ///< It is stopping and wants no more callers.
+    bool cannotRead { false }; ///< It can't read the platform's lists.
+};
+
+/// Which VMs there are, and which of the own region are alive: all VMs enter a list and those of one region tell each
+/// other that they live.
+class VmRoster
+{
+public:
+    VmRoster(VmId own, Place ownPlace, VmRosterSettings settings);
+
+    /// Takes the complete list.
+    void applyRecords(const std::vector<VmRecord> &records, TimePoint now);
+    /// A VM has said that it lives. Words of an earlier process of it are ignored.
+    void noteHeard(const VmId &vm, std::int64_t startedAtMilliseconds, VmPresence presence, TimePoint now);
+
+    /// VMs that are entered, this one included: the number among which limits are divided.
+    std::size_t count() const;
+    /// All entered VMs of the region but this one.
+    std::vector<VmRecord> peersIn(const RegionId &region) const;
+    /// The regions of all entered VMs.
+    std::vector<RegionId> regions() const;
+    /// Whether the VM may be sent callers. Only VMs of the own region are known to be alive.
+    bool isServing(const VmId &vm, TimePoint now) const;
+    /// The serving VMs of the own region, this one included unless it leaves.
+    std::vector<VmRecord> serving(TimePoint now) const;
+    const VmRecord *find(const VmId &vm) const;
+    /// VMs of the own region that have been silent for longer than the given time and should be taken from the list.
+    std::vector<VmId> silentFor(Milliseconds time, TimePoint now) const;
+    /// Returns the VMs of the own region in the order in which they read a list of the platform for the others: those
+    /// that can come first. All VMs that know the same agree on it.
+    std::vector<VmId> readersOf(std::string_view list, TimePoint now) const;
+    /// Returns how many VMs come before this one in that order. If one region reads for all, its first VM comes before
+    /// the VMs of the other regions, too.
+    std::size_t readerRank(std::string_view list, bool isReadForAll, TimePoint now) const;
+    /// Returns the VMs of a region that are told what another region has read and tell their own. Nothing is known of
+    /// whether VMs of other regions live, so that there are two of them.
+    std::vector<VmId> relaysOf(std::string_view list, const RegionId &region) const;
+    /// Whether no region is nearer to the platform than the own one, as far as its VMs have said.
+    bool isNearestToPlatform() const
+    {
+        return m_nearestRegion.isEmpty() || m_nearestRegion == m_ownPlace.region;
+    }
+    /// Returns the VM of the own availability zone, this one included, that the others of the zone ask first for what
+    /// they lack. Empty if no VM is known.
+    VmId headOfZone(TimePoint now) const;
+    /// Whether the list of VMs was read.
+    bool hasList() const
+    {
+        return m_hasList;
+    }
+    /// What this VM says of itself.
+    const VmPresence &ownPresence() const
+    {
+        return m_ownPresence;
+    }
+    void setOwnPresence(VmPresence presence)
+    {
+        m_ownPresence = presence;
+    }
+
+private:
+    struct Entry
+    {
+        VmRecord record;
+        TimePoint listedAt {};
+        TimePoint heardAt {};
+        VmPresence presence {};
+        std::uint64_t hash { 0 }; ///< Of the VM's id.
+    };
+
+    /// Whether the VM may do something for the others of the region.
+    bool isAvailable(const VmId &vm, TimePoint now) const;
+    /// Returns the place of a VM in the order of readers as far as it doesn't change while the VM lives.
+    static double readerScore(std::string_view list, const Entry &entry);
+    void findNearestRegion();
+
+    VmId m_own;
+    Place m_ownPlace;
+    VmRosterSettings m_settings;
+    std::map<VmId, Entry> m_entries;
+    bool m_hasList { false };
+    RegionId m_nearestRegion;
+    TimePoint m_listedAt {}; ///< When the first list came.
+    VmPresence m_ownPresence;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibSteering/VmsByRegion.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace Sapphire {
+
+/// A VM that may be chosen for a duty.
+struct HomeCandidate
+{
+    VmId vm;
+    RegionId region;
+
+    friend bool operator==(const HomeCandidate &, const HomeCandidate &) = default;
+};
+
+/// The VMs of each region, ready for rendezvous hashing: all VMs that know the same choose the same.
+class VmsByRegion
+{
+public:
+    VmsByRegion() = default;
+    explicit VmsByRegion(const std::vector<HomeCandidate> &vms);
+
+    std::size_t vmCount() const
+    {
+        return m_vmCount;
+    }
+    std::size_t regionCount() const
+    {
+        return m_regions.size();
+    }
+    bool isEmpty() const
+    {
+        return m_vmCount == 0;
+    }
+    /// Returns up to `size` VMs of each region for a key, given by its hash: the highest rank first within a region,
+    /// regions in the order of their names.
+    std::vector<HomeCandidate> highestRanked(std::uint64_t keyHash, std::size_t size) const;
+    /// Returns whether the VM is among the `size` highest ranked ones of the region for a key.
+    bool isAmongHighest(const VmId &vm, const RegionId &region, std::uint64_t keyHash, std::size_t size) const;
+
+    friend bool operator==(const VmsByRegion &, const VmsByRegion &) = default;
+
+private:
+    struct Vm
+    {
+        HomeCandidate candidate;
+        std::uint64_t hash { 0 }; ///< Of its id.
+
+        friend bool operator==(const Vm &, const Vm &) = default;
+    };
+    struct Region
+    {
+        RegionId id;
+        std::vector<Vm> vms; ///< In the order of their ids.
+
+        friend bool operator==(const Region &, const Region &) = default;
+    };
+
+    std::vector<Region> m_regions; ///< In the order of their names.
+    std::size_t m_vmCount { 0 };
+};
+
+} // namespace Sapphire
--- a/Tests/Integration/TestRegionOverload.cpp
+++ b/Tests/Integration/TestRegionOverload.cpp
@@ -30,6 +30,7 @@
     std::string end;
     std::string atReceiver {}; ///< Parameters for the targets of the receiving region.
     int paths { 1 }; ///< Different paths that the callers read, each as often.
+    bool isFalse { false }; ///< The targets go on answering.
 };
 
 void setTargets(Deployment &deployment, const std::string &region, const std::string &parameters)
@@ -180,7 +181,13 @@
     CAPTURE(seed);
     checkCap(*deployment, failedAt);
     checkReceiver(*deployment);
-    CHECK(*std::max_element(shares.begin(), shares.end()) > cap / 2);
+    const double mostMoved = *std::max_element(shares.begin(), shares.end());
+    if (fault.isFalse) {
+        CHECK(mostMoved < leastChange);
+        CHECK(unanswered(callers) <= 0.01);
+    } else {
+        CHECK(mostMoved > cap / 2);
+    }
     CHECK(directionChanges(shares) <= 2);
     CHECK(unanswered(neighboursAfter) <= unanswered(neighboursBefore) + 0.01);
 }
@@ -193,10 +200,18 @@
     failRegionAndCheck({ "targets down", "down=1", "down=0" });
 }
 
-TEST_CASE("The flow of a region whose targets report failure moves under the cap and overloads no region")
+TEST_CASE("The flow of a region whose targets report failure and turn requests away moves under the cap")
 {
     // Guards against health reports that move the flow faster than the cap.
-    failRegionAndCheck({ "targets report failure", "health=failing", "health=ok" });
+    failRegionAndCheck({ "targets report failure and shed", "health=failing&shedAll=1", "health=ok&shedAll=0" });
+}
+
+TEST_CASE("The flow of a region whose targets report failure but answer every request stays")
+{
+    // Guards against a false health report that takes a working region's targets away from its callers.
+    RegionFault fault { "targets report failure falsely", "health=failing", "health=ok" };
+    fault.isFalse = true;
+    failRegionAndCheck(fault);
 }
 
 TEST_CASE("A region that is slow behind frozen good reports moves its flow under the cap")
--- a/Tests/LibSteering/TestHomeSet.cpp
+++ b/Tests/LibSteering/TestHomeSet.cpp
@@ -23,8 +23,8 @@
 TEST_CASE("a smaller home set is part of a larger one")
 {
     // Guards against VMs that disagree about the size and ask VMs without a share for loans.
-    const auto small = HomeSet::choose(CustomerId("c"), fleet(30), 1);
-    const auto large = HomeSet::choose(CustomerId("c"), fleet(30), 3);
+    const auto small = HomeSet::choose(CustomerId("c"), VmsByRegion(fleet(30)), 1);
+    const auto large = HomeSet::choose(CustomerId("c"), VmsByRegion(fleet(30)), 3);
     CHECK(small.size() == 3);
     CHECK(large.size() == 9);
     for (const HomeCandidate &home : small) {
@@ -38,10 +38,10 @@
     const std::vector<HomeCandidate> all = fleet(30);
     for (int customer = 0; customer < 50; ++customer) {
         const CustomerId id("customer-" + std::to_string(customer));
-        const auto before = HomeSet::choose(id, all, 2);
+        const auto before = HomeSet::choose(id, VmsByRegion(all), 2);
         std::vector<HomeCandidate> rest = all;
         std::erase(rest, before.front());
-        const auto after = HomeSet::choose(id, rest, 2);
+        const auto after = HomeSet::choose(id, VmsByRegion(rest), 2);
         const auto kept = std::count_if(before.begin(), before.end(), [&after](const HomeCandidate &home) {
             return std::find(after.begin(), after.end(), home) != after.end();
         });
--- /dev/null
+++ b/Tests/LibSteering/TestRequestQueueing.cpp
@@ -0,0 +1,81 @@
+#include <LibSteering/RequestQueueing.h>
+
+#include <doctest/doctest.h>
+
+using namespace Sapphire;
+
+namespace {
+
+constexpr TimePoint start { Milliseconds(1'000'000) };
+constexpr Milliseconds targetLatency { 300 };
+constexpr Milliseconds timeout { 1'000 };
+
+RequestTimes times()
+{
+    RequestTimes times;
+    times.arrivedAt = start;
+    times.wantedBy = Deadline::after(start, targetLatency);
+    times.giveUpAt = Deadline::after(start, timeout);
+    times.callerDeadline = Deadline::after(start, timeout);
+    times.timeout = timeout;
+    return times;
+}
+
+AnswerForecast queued(Milliseconds time)
+{
+    return { time, false, true };
+}
+
+AnswerForecast freeSlot(Milliseconds time, bool isWorkKnown = true)
+{
+    return { time, true, isWorkKnown };
+}
+
+} // namespace
+
+TEST_CASE("RequestQueueing sends a request to a queue only if it can still be on time")
+{
+    // Guards against targets whose queues are full of requests that will be late, while others miss their target
+    // latency.
+    CHECK(RequestQueueing::maySend(times(), queued(Milliseconds(300)), start));
+    CHECK(!RequestQueueing::maySend(times(), queued(Milliseconds(301)), start));
+    CHECK(!RequestQueueing::maySend(times(), queued(Milliseconds(200)), start + Milliseconds(101)));
+    CHECK(RequestQueueing::maySend(times(), freeSlot(Milliseconds(800)), start + Milliseconds(101)));
+}
+
+TEST_CASE("RequestQueueing refuses at once what the best target can't answer in time")
+{
+    // Guards against callers that wait for an answer which is known not to come.
+    CHECK(RequestQueueing::isBeyondReach(times(), queued(Milliseconds(1'001)), start));
+    CHECK(!RequestQueueing::isBeyondReach(times(), queued(Milliseconds(1'000)), start));
+    CHECK(RequestQueueing::isBeyondReach(times(), freeSlot(Milliseconds(450)), start + Milliseconds(600)));
+}
+
+TEST_CASE("RequestQueueing does not refuse for an estimate alone")
+{
+    // Guards against a route that is refused for ever after one slow answer.
+    CHECK(!RequestQueueing::isBeyondReach(times(), freeSlot(Milliseconds(5'000)), start));
+    CHECK(!RequestQueueing::isBeyondReach(times(), freeSlot(Milliseconds(450), false), start + Milliseconds(600)));
+}
+
+TEST_CASE("RequestQueueing ends the wait while its caller can still come back")
+{
+    // Guards against requests that wait until their deadline and are then refused.
+    const Microseconds work = Milliseconds(100);
+    CHECK(!RequestQueueing::isHopeless(times(), work, start + Milliseconds(500)));
+    CHECK(RequestQueueing::isHopeless(times(), work, start + Milliseconds(501)));
+    CHECK(RequestQueueing::isHopeless(times(), Milliseconds(700), start + Milliseconds(301)));
+}
+
+TEST_CASE("RequestQueueing spreads the return of refused callers over the first third of their time")
+{
+    // Guards against callers that all return at the same moment, or too late to be served.
+    const TimePoint now = start + Milliseconds(400);
+    const Deadline earliest = RequestQueueing::retryAt(times(), 0, now);
+    const Deadline latest = RequestQueueing::retryAt(times(), 1, now);
+    CHECK(earliest.remaining(now) == Milliseconds(99));
+    CHECK(latest.remaining(now) == Milliseconds(198));
+    RequestTimes patient = times();
+    patient.callerDeadline = Deadline::after(start, Milliseconds(60'000));
+    CHECK(RequestQueueing::retryAt(patient, 1, now).remaining(now) <= Milliseconds(660));
+}
--- /dev/null
+++ b/Tests/LibSteering/TestTargetList.cpp
@@ -0,0 +1,181 @@
+#include <LibSteering/TargetList.h>
+
+#include <doctest/doctest.h>
+
+using namespace Sapphire;
+
+namespace {
+
+constexpr TimePoint start { Milliseconds(1'000'000) };
+
+KnownTarget target(const char *id, const char *service = "s")
+{
+    KnownTarget result;
+    result.id = TargetId(id);
+    result.service = ServiceId(service);
+    result.address = "127.0.0.1:1";
+    result.availabilityZone = AvailabilityZoneId("z");
+    result.slots = 4;
+    return result;
+}
+
+constexpr std::size_t mostEntries = 100;
+
+/// Applies a whole list whose change fits into one part.
+TargetListChange apply(TargetList &list, const std::vector<KnownTarget> &targets, const AbsenceGrace &grace = {},
+                       TimePoint now = start)
+{
+    const std::vector<TargetListChange> parts = list.applyWhole(targets, grace, now, mostEntries);
+    REQUIRE(parts.size() == 1);
+    return parts.front();
+}
+
+/// The grace that begins when the list is read again after it was away.
+AbsenceGrace graceAfterLoss()
+{
+    AbsenceGrace grace;
+    grace.noteFailure(start);
+    grace.noteSuccess(start);
+    return grace;
+}
+
+std::vector<TargetId> drainingIn(const TargetList &list)
+{
+    std::vector<TargetId> draining;
+    for (const KnownTarget &target : list.targets()) {
+        if (target.isDraining) {
+            draining.push_back(target.id);
+        }
+    }
+    return draining;
+}
+
+} // namespace
+
+TEST_CASE("TargetList follows another VM's list by its changes")
+{
+    // Guards against VMs that know different targets after changes, or believe to know the same.
+    const AbsenceGrace grace;
+    TargetList reader;
+    TargetList follower;
+    CHECK(follower.applyChange(apply(reader, { target("a"), target("b") }, grace)));
+    KnownTarget draining = target("a");
+    draining.isDraining = true;
+    const TargetListChange change = apply(reader, { draining, target("c") }, grace);
+    CHECK(change.changed.size() == 2);
+    CHECK(change.removed == std::vector { TargetId("b") });
+    CHECK(follower.applyChange(change));
+    CHECK(follower.digest() == reader.digest());
+    CHECK(!follower.applyChange(change));
+    TargetList stranger;
+    CHECK(!stranger.applyChange(change));
+}
+
+TEST_CASE("TargetList divides a large change into parts that follow each other")
+{
+    // Guards against a change that is too large for a datagram and makes all VMs read for themselves.
+    const AbsenceGrace grace;
+    TargetList reader;
+    std::vector<KnownTarget> targets;
+    targets.reserve(50);
+    for (int i = 0; i < 50; ++i) {
+        targets.push_back(target(("t" + std::to_string(i)).c_str()));
+    }
+    apply(reader, { target("old-1"), target("old-2"), target("old-3") }, grace);
+    TargetList follower = reader;
+    const std::vector<TargetListChange> parts = reader.applyWhole(targets, grace, start, 10);
+    CHECK(parts.size() == 6);
+    for (const TargetListChange &part : parts) {
+        CHECK(part.changed.size() + part.removed.size() <= 10);
+        CHECK(follower.applyChange(part));
+    }
+    CHECK(follower.digest() == reader.digest());
+    CHECK(reader.applyWhole(targets, grace, start, 10).size() == 1);
+}
+
+TEST_CASE("TargetList tells of a target that lost its caches again")
+{
+    // Guards against a cold target that gets the requests of a warm one.
+    const AbsenceGrace grace;
+    TargetList list;
+    apply(list, { target("a") }, grace);
+    KnownTarget cold = target("a");
+    cold.coldUntil = start + Milliseconds(3'000);
+    CHECK(apply(list, { cold }, grace).changed.size() == 1);
+    // The same end of the cold time, told again.
+    CHECK(apply(list, { cold }, grace, start + Milliseconds(1'000)).changed.empty());
+}
+
+TEST_CASE("TargetList keeps missing targets while the grace lasts")
+{
+    // Guards against targets that are dropped because the store forgot them.
+    const AbsenceGrace grace = graceAfterLoss();
+    TargetList list;
+    apply(list, { target("a"), target("b") }, grace);
+    CHECK(apply(list, { target("a") }, grace).removed.empty());
+    CHECK(list.targets().size() == 2);
+    CHECK(apply(list, { target("a") }, grace, start + Milliseconds(3'000)).removed.size() == 1);
+}
+
+TEST_CASE("TargetList gives no new work to a few missing targets while the grace lasts")
+{
+    // Guards against a VM that was cut off while a target left, and sends to it for seconds after its return.
+    const AbsenceGrace grace = graceAfterLoss();
+    TargetList list;
+    apply(list, { target("a"), target("b"), target("c"), target("d", "other") });
+    TargetList follower = list;
+    const TargetListChange change = apply(list, { target("a"), target("b"), target("d", "other") }, grace);
+    CHECK(change.removed.empty());
+    CHECK(drainingIn(list) == std::vector { TargetId("c") });
+    CHECK(follower.applyChange(change));
+    CHECK(drainingIn(follower) == std::vector { TargetId("c") });
+    // It said nothing, and is back with all that it had.
+    apply(list, { target("a"), target("b"), target("c"), target("d", "other") }, grace);
+    CHECK(drainingIn(list).empty());
+}
+
+TEST_CASE("TargetList sends on to missing targets when many of their service are missing")
+{
+    // Guards against a service without targets because the store lost its entries.
+    const AbsenceGrace grace = graceAfterLoss();
+    TargetList list;
+    apply(list, { target("a"), target("b"), target("c"), target("d", "other") });
+    apply(list, { target("a"), target("d", "other") }, grace);
+    CHECK(list.targets().size() == 4);
+    CHECK(drainingIn(list).empty());
+    apply(list, { target("a"), target("b"), target("d", "other") }, grace, start + Milliseconds(500));
+    CHECK(drainingIn(list) == std::vector { TargetId("c") });
+}
+
+TEST_CASE("TargetList finds the buckets in which another list differs, and takes them")
+{
+    // Guards against a VM that reads the whole list from the platform because it lacks a few entries.
+    constexpr std::size_t count = 2'000;
+    std::vector<KnownTarget> targets;
+    for (std::size_t i = 0; i < count; ++i) {
+        targets.push_back(target(("t" + std::to_string(i)).c_str()));
+    }
+    TargetList reader;
+    reader.applyWhole(targets, {}, start, mostEntries);
+    TargetList other = reader;
+    targets[7].isDraining = true;
+    targets.pop_back();
+    targets.push_back(target("new"));
+    reader.applyWhole(targets, {}, start, mostEntries);
+    const TargetList::BucketDigests digests = reader.bucketDigests();
+    const TargetList::BucketDigests otherDigests = other.bucketDigests();
+    std::size_t differing = 0;
+    std::size_t entries = 0;
+    for (std::size_t index = 0; index < TargetList::bucketCount; ++index) {
+        if (digests[index] != otherDigests[index]) {
+            ++differing;
+            entries += other.replaceBucket(index, reader.bucket(index)).entryCount();
+        }
+    }
+    CHECK(differing >= 1);
+    CHECK(differing <= 3);
+    CHECK(entries == 3);
+    CHECK(other.digest() == reader.digest());
+    CHECK(other.bucketDigests() == digests);
+    CHECK(other.targets().size() == count);
+}
--- a/Tests/LibSteering/TestTargetState.cpp
+++ b/Tests/LibSteering/TestTargetState.cpp
@@ -50,6 +50,16 @@
     CHECK(state.isReportedDown(start + Milliseconds(3000)));
 }
 
+TEST_CASE("TargetState keeps the room of a target that answered while its health said that it failed")
+{
+    // Guards against refusals after a false report: the target's caches were never lost.
+    TargetState state(TargetId("t"), 4, false, start);
+    state.takeReport(report("a", start, TargetHealth::Failing));
+    succeed(state, start + Milliseconds(500), Milliseconds(100));
+    state.takeReport(report("a", start + Milliseconds(1'000), TargetHealth::Ok));
+    CHECK(state.limit(start + Milliseconds(1'000)) == 4);
+}
+
 TEST_CASE("TargetState counts a report less the older it is")
 {
     // Guards against VMs that all avoid, or all choose, the same target for as long as a report is the newest.
