LibNet: Serve and call HTTP from one event loop

Cause: a thread a connection costs more memory than a VM of 0.07 cores and 64 MB has. Change: an epoll loop with bounded buffers, HTTP/1.1 server and client connections that pass bodies on as they come, and streams in both directions. Result: TestLibNet passes, also under AddressSanitizer and ThreadSanitizer.

--- /dev/null
+++ b/Libraries/LibNet/HttpServerConnection.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibNet/HttpRequestHandler.h>
+#include <LibNet/StreamConnection.h>
+
+#include <optional>
+
+namespace Sapphire {
+
+/// The head of an answer.
+struct HttpAnswerHead
+{
+    int status { 200 };
+    std::string reason; ///< Empty for the usual one.
+    std::vector<HeaderField> headers; ///< Without those that frame the body.
+    std::optional<std::uint64_t> bodyBytes; ///< Nothing if the length is not known in advance.
+};
+
+/// A connection from a caller. Reads its requests one after the other, hands each to a handler and writes its answer.
+class HttpServerConnection final : public RefCounted<HttpServerConnection>, private StreamConnectionListener
+{
+public:
+    /// Serves the connection until it ends. The factory and the policy must outlive it.
+    static RefPointer<HttpServerConnection> create(EventLoop &loop, const Poco::Net::StreamSocket &socket,
+                                                   HttpHandlerFactory &factory, const HttpServerPolicy &policy);
+
+    ~HttpServerConnection() override;
+
+    /// Writes the head of the current request's answer.
+    void startAnswer(const HttpAnswerHead &head);
+    void writeBody(std::string_view bytes);
+    /// Ends the answer, and the connection if the request was not read whole or one side wants it to end.
+    void finishAnswer();
+    /// Ends the connection so that the caller can't take what it got for a complete answer.
+    void abortAnswer();
+    /// Writes a whole answer.
+    void answer(const HttpAnswerHead &head, std::string_view body);
+
+    std::size_t pendingOutput() const
+    {
+        return m_stream->pendingOutput();
+    }
+    /// Stops or resumes reading the body of the request.
+    void setReading(bool isReading);
+    bool isOpen() const
+    {
+        return m_stream->isOpen();
+    }
+
+private:
+    HttpServerConnection(EventLoop &loop, HttpHandlerFactory &factory, const HttpServerPolicy &policy);
+
+    void connectionEstablished() override;
+    void bytesReceived(std::string_view bytes) override;
+    void peerClosed(bool isBroken) override;
+    void outputDrained() override;
+
+    void advance();
+    bool feedParser();
+    void beginRequest();
+    void passBody();
+    void requestFailed(const Error &error);
+    void endRequest();
+    void close();
+    void closeAfterOutput();
+    void timeout();
+    bool mayKeep() const;
+
+    EventLoop &m_loop;
+    HttpHandlerFactory &m_factory;
+    const HttpServerPolicy &m_policy;
+    RefPointer<StreamConnection> m_stream;
+    HttpParser m_parser;
+    std::string m_input; ///< Received and not parsed yet.
+    RefPointer<HttpRequestHandler> m_handler; ///< Of the request in progress.
+    Timer m_timer;
+    bool m_isAnswerStarted { false };
+    bool m_isAnswerFinished { false };
+    bool m_isChunked { false };
+    bool m_hasNoAnswerBody { false };
+    bool m_isHeadRequest { false };
+    bool m_isAdvancing { false };
+    bool m_isLingering { false }; ///< The last answer was sent, and the caller's remaining bytes are dropped.
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibNet/StreamConnection.cpp
@@ -0,0 +1,240 @@
+#include <LibNet/StreamConnection.h>
+
+#include <Poco/Exception.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr std::size_t pieceBytes = 16384;
+constexpr int probeIntervalSeconds = 1;
+constexpr int lostProbes = 2;
+
+} // namespace
+
+StreamConnection::StreamConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket,
+                                   StreamConnectionListener &listener)
+    : m_loop(loop), m_socket(socket), m_descriptor(socket.impl()->sockfd()), m_listener(&listener)
+{
+}
+
+StreamConnection::~StreamConnection()
+{
+    close();
+}
+
+RefPointer<StreamConnection> StreamConnection::adopt(EventLoop &loop, const Poco::Net::StreamSocket &socket,
+                                                     const LivenessSettings &liveness,
+                                                     StreamConnectionListener &listener)
+{
+    RefPointer<StreamConnection> connection(new StreamConnection(loop, socket, listener));
+    connection->applyLiveness(liveness);
+    connection->updateInterest();
+    return connection;
+}
+
+Result<RefPointer<StreamConnection>> StreamConnection::connect(EventLoop &loop, const Poco::Net::SocketAddress &address,
+                                                               const LivenessSettings &liveness,
+                                                               StreamConnectionListener &listener)
+{
+    Poco::Net::StreamSocket socket;
+    try {
+        socket.connectNB(address);
+    } catch (const Poco::Exception &exception) {
+        return fail(ErrorCode::Unavailable, address.toString() + ": " + exception.displayText());
+    }
+    RefPointer<StreamConnection> connection(new StreamConnection(loop, socket, listener));
+    connection->m_isConnecting = true;
+    connection->applyLiveness(liveness);
+    connection->updateInterest();
+    return connection;
+}
+
+void StreamConnection::applyLiveness(const LivenessSettings &liveness)
+{
+    try {
+        m_socket.setBlocking(false);
+        m_socket.setNoDelay(true);
+        if (liveness.unacknowledgedLimit > Milliseconds::zero()) {
+            m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(liveness.unacknowledgedLimit.count()));
+        }
+        if (liveness.probeAfter > std::chrono::seconds::zero()) {
+            m_socket.setKeepAlive(true);
+            m_socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(liveness.probeAfter.count()));
+            m_socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+            m_socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, lostProbes);
+        }
+    } catch (const Poco::Exception &) {
+        // The peer has closed already, which the first read reports.
+        return;
+    }
+}
+
+void StreamConnection::send(std::string_view bytes)
+{
+    if (!m_isOpen) {
+        return;
+    }
+    m_output.append(bytes);
+    if (!m_isConnecting) {
+        flush();
+    }
+}
+
+void StreamConnection::setReading(bool isReading)
+{
+    if (m_isOpen && m_isReading != isReading) {
+        m_isReading = isReading;
+        updateInterest();
+    }
+}
+
+void StreamConnection::finishOutput()
+{
+    m_isFinishing = true;
+    if (m_isOpen && !m_isConnecting) {
+        flush();
+    }
+}
+
+void StreamConnection::close()
+{
+    if (!m_isOpen) {
+        return;
+    }
+    m_isOpen = false;
+    m_loop.unwatch(m_descriptor);
+    m_socket.close();
+}
+
+void StreamConnection::reset()
+{
+    if (!m_isOpen) {
+        return;
+    }
+    const linger immediately { 1, 0 };
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+    close();
+}
+
+void StreamConnection::descriptorReady(const DescriptorEvents &events)
+{
+    // The listener may drop its reference in a callback.
+    const RefPointer<StreamConnection> self(this);
+    if (m_isConnecting) {
+        if (events.isWritable || events.isPeerClosed) {
+            finishConnecting();
+        }
+        return;
+    }
+    if (events.isWritable) {
+        flush();
+        if (m_isOpen && pendingOutput() == 0) {
+            m_listener->outputDrained();
+        }
+    }
+    if (!m_isOpen) {
+        return;
+    }
+    if (m_isReading && !m_hasPeerClosed) {
+        receive();
+    } else if (events.isPeerClosed) {
+        closeBroken();
+    }
+}
+
+void StreamConnection::finishConnecting()
+{
+    const int error = m_socket.impl()->socketError();
+    if (error != 0) {
+        closeBroken();
+        return;
+    }
+    m_isConnecting = false;
+    updateInterest();
+    m_listener->connectionEstablished();
+    if (m_isOpen) {
+        flush();
+    }
+}
+
+void StreamConnection::receive()
+{
+    std::array<char, pieceBytes> piece;
+    while (m_isOpen && m_isReading && !m_hasPeerClosed) {
+        // The system call is used directly, since a would-block is no exceptional result here.
+        const ssize_t count = ::recv(m_descriptor, piece.data(), piece.size(), MSG_DONTWAIT);
+        if (count > 0) {
+            m_listener->bytesReceived({ piece.data(), static_cast<std::size_t>(count) });
+            if (static_cast<std::size_t>(count) < piece.size()) {
+                return;
+            }
+        } else if (count == 0) {
+            m_hasPeerClosed = true;
+            updateInterest();
+            m_listener->peerClosed(false);
+        } else if (errno == EAGAIN) {
+            return;
+        } else if (errno != EINTR) {
+            closeBroken();
+        }
+    }
+}
+
+void StreamConnection::flush()
+{
+    while (pendingOutput() > 0) {
+        const ssize_t count =
+            ::send(m_descriptor, m_output.data() + m_outputBegin, pendingOutput(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count > 0) {
+            m_hasSent = true;
+            m_outputBegin += static_cast<std::size_t>(count);
+        } else if (errno == EAGAIN) {
+            updateInterest();
+            return;
+        } else if (errno != EINTR) {
+            // The listener may be in the middle of a call to send(), so it is told afterwards.
+            m_loop.later([self = RefPointer<StreamConnection>(this)] {
+                self->closeBroken();
+            });
+            m_outputBegin = m_output.size();
+            break;
+        }
+    }
+    m_output.clear();
+    m_outputBegin = 0;
+    updateInterest();
+    if (m_isFinishing && m_isOpen) {
+        ::shutdown(m_descriptor, SHUT_WR);
+        m_isFinishing = false;
+    }
+}
+
+void StreamConnection::closeBroken()
+{
+    if (!m_isOpen) {
+        return;
+    }
+    close();
+    m_listener->peerClosed(true);
+}
+
+void StreamConnection::updateInterest()
+{
+    if (!m_isOpen) {
+        return;
+    }
+    DescriptorInterest interest;
+    interest.wantsRead = m_isReading && !m_hasPeerClosed && !m_isConnecting;
+    interest.wantsWrite = m_isConnecting || pendingOutput() > 0;
+    m_loop.watch(m_descriptor, interest, *this);
+}
+
+} // namespace Sapphire
