LibPeer: Tell other VMs by datagram what the platform's store does not carry

Change: PeerNetwork with datagrams in Protocol Buffers, statements of targets divided so that none exceeds a packet.

--- /dev/null
+++ b/Libraries/LibPeer/PeerEvents.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <LibCore/EventLog.h>
+
+namespace Sapphire::PeerEvents {
+
+inline constexpr EventType peerSilent { 13000, "peer-silent", Severity::Warning };
+inline constexpr EventType peerHeard { 13001, "peer-heard", Severity::Info };
+inline constexpr EventType peerLeaving { 13002, "peer-leaving", Severity::Info };
+inline constexpr EventType datagramRejected { 13003, "datagram-rejected", Severity::Warning };
+
+} // namespace Sapphire::PeerEvents
--- /dev/null
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -0,0 +1,373 @@
+#include <LibPeer/PeerNetwork.h>
+
+#include <LibCore/Duration.h>
+#include <LibCore/Hash.h>
+#include <LibPeer/PeerEvents.h>
+#include <LibPeer/ReadingCodec.h>
+#include <LibPeer/TargetStatementCodec.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr Milliseconds heartbeatInterval { 1'000 };
+constexpr Milliseconds loanInterval { 50 };
+constexpr double centislots = 100;
+
+using WireDemands = google::protobuf::RepeatedPtrField<peer::ServiceDemand>;
+
+void writeDemands(const ServiceDemands &demands, WireDemands &wire)
+{
+    for (const auto &[service, demand] : demands) {
+        peer::ServiceDemand &entry = *wire.Add();
+        entry.set_service(service.text());
+        entry.set_offered_centislots(static_cast<std::uint32_t>(std::lround(demand * centislots)));
+    }
+}
+
+ServiceDemands readDemands(const WireDemands &wire)
+{
+    ServiceDemands demands;
+    for (const peer::ServiceDemand &entry : wire) {
+        demands[ServiceId(entry.service())] = entry.offered_centislots() / centislots;
+    }
+    return demands;
+}
+
+} // namespace
+
+PeerNetwork::PeerNetwork(EventLoop &loop, VmRecord own, VmRoster &roster, QuotaBook &quotas)
+    : m_loop(loop)
+    , m_own(std::move(own))
+    , m_roster(roster)
+    , m_loans(quotas, roster, m_own.vm, m_own.place.region,
+              [this](const VmRecord &lender, const LoanQuestion &question) {
+                  peer::Datagram datagram;
+                  datagram.mutable_wish()->set_id(question.id);
+                  datagram.mutable_wish()->set_customer(question.customer.text());
+                  datagram.mutable_wish()->set_tokens(static_cast<std::uint32_t>(question.tokens.value()));
+                  send(lender, datagram);
+              })
+    , m_demands(m_own.place.region)
+    , m_heartbeat(loop,
+                  [this] {
+                      announce();
+                  })
+    , m_suspectTimer(loop,
+                     [this] {
+                         sendSuspects(m_suspectNews.takeNew(m_loop.now()));
+                     })
+    , m_loanTimer(loop, [this] {
+        m_loans.seek(m_loop.now());
+        m_onTokens();
+        m_loanTimer.start(Deadline::after(m_loop.now(), loanInterval));
+    })
+{
+}
+
+Result<std::unique_ptr<PeerNetwork>> PeerNetwork::create(EventLoop &loop, const VmRecord &own, VmRoster &roster,
+                                                         QuotaBook &quotas)
+{
+    std::unique_ptr<PeerNetwork> network(new PeerNetwork(loop, own, roster, quotas));
+    BOOST_LEAF_ASSIGN(network->m_socket,
+                      PeerSocket::create(loop, Poco::Net::SocketAddress(own.peerAddress),
+                                         [raw = network.get()](const auto &sender, std::string_view bytes) {
+                                             raw->receive(sender, bytes);
+                                         }));
+    network->m_heartbeat.start(Deadline::after(loop.now(), heartbeatInterval));
+    network->m_loanTimer.start(Deadline::after(loop.now(), loanInterval));
+    return network;
+}
+
+void PeerNetwork::applyRecords(const std::vector<VmRecord> &records)
+{
+    m_roster.applyRecords(records, m_loop.now());
+    const peer::Datagram datagram = presence();
+    for (const VmRecord &peer : m_roster.peersIn(m_own.place.region)) {
+        if (m_known.insert(peer.vm).second) {
+            send(peer, datagram);
+        }
+    }
+}
+
+void PeerNetwork::leave()
+{
+    VmPresence presence = m_roster.ownPresence();
+    presence.isLeaving = true;
+    m_roster.setOwnPresence(presence);
+    announce();
+}
+
+void PeerNetwork::announce()
+{
+    watchSilence();
+    m_demands.setOwn(m_demandProvider());
+    stateDemands();
+    sendSuspects(m_suspectNews.takeRepeats());
+    announcePresence();
+    m_heartbeat.start(Deadline::after(m_loop.now(), heartbeatInterval));
+}
+
+void PeerNetwork::announcePresence()
+{
+    sendTo(m_own.place.region, presence());
+}
+
+peer::Datagram PeerNetwork::presence() const
+{
+    peer::Datagram datagram;
+    datagram.mutable_presence()->set_is_leaving(m_roster.ownPresence().isLeaving);
+    datagram.mutable_presence()->set_cannot_read(m_roster.ownPresence().cannotRead);
+    writeDemands(m_demandProvider(), *datagram.mutable_presence()->mutable_demands());
+    return datagram;
+}
+
+void PeerNetwork::stateDemands()
+{
+    peer::Datagram datagram;
+    datagram.mutable_region()->set_region(m_own.place.region.text());
+    writeDemands(m_demands.ownRegion(m_loop.now()), *datagram.mutable_region()->mutable_demands());
+    // Each VM tells another one of each region in turn, so that all of them hear of it about once a second.
+    ++m_statements;
+    const std::size_t offset = stableHash(m_own.vm.text()) + m_statements;
+    for (const RegionId &region : m_roster.regions()) {
+        const std::vector<VmRecord> peers = m_roster.peersIn(region);
+        if (region != m_own.place.region && !peers.empty()) {
+            send(peers[offset % peers.size()], datagram);
+        }
+    }
+}
+
+void PeerNetwork::send(const VmRecord &peer, const peer::Datagram &datagram)
+{
+    peer::Datagram signedDatagram = datagram;
+    signedDatagram.set_vm(m_own.vm.text());
+    signedDatagram.set_started(m_own.startedAtMilliseconds);
+    m_socket->send(Poco::Net::SocketAddress(peer.peerAddress), signedDatagram.SerializeAsString());
+}
+
+void PeerNetwork::setReadable(ReadingSubject list, bool isReadable)
+{
+    if (isReadable) {
+        m_unreadable.erase(list);
+    } else {
+        m_unreadable.insert(list);
+    }
+    VmPresence own = m_roster.ownPresence();
+    if (own.cannotRead == !m_unreadable.empty()) {
+        return;
+    }
+    own.cannotRead = !m_unreadable.empty();
+    m_roster.setOwnPresence(own);
+    announcePresence();
+}
+
+void PeerNetwork::tellReading(const Reading &reading)
+{
+    peer::Datagram datagram;
+    peer::Reading &message = *datagram.add_readings();
+    encodeReading(reading, m_loop.now(), message);
+    const std::vector<std::string> parts =
+        reading.document.empty() ? std::vector<std::string>() : divideDocument(reading.document);
+    if (parts.empty()) {
+        sendTo(m_own.place.region, datagram);
+    }
+    message.set_parts(static_cast<std::uint32_t>(parts.size()));
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        message.set_part(static_cast<std::uint32_t>(i));
+        message.set_document_part(parts[i]);
+        sendTo(m_own.place.region, datagram);
+    }
+}
+
+void PeerNetwork::tellRelays(const Reading &reading, std::string_view list)
+{
+    peer::Datagram datagram;
+    encodeReading(reading, m_loop.now(), *datagram.add_readings());
+    for (const RegionId &region : m_roster.regions()) {
+        if (region == m_own.place.region) {
+            continue;
+        }
+        for (const VmId &relay : m_roster.relaysOf(list, region)) {
+            send(*m_roster.find(relay), datagram);
+        }
+    }
+}
+
+void PeerNetwork::takeReading(const VmRecord &sender, const peer::Reading &message)
+{
+    std::optional<Reading> reading = decodeReading(message, m_loop.now());
+    if (!reading) {
+        return;
+    }
+    reading->toldBy = sender.vm;
+    if (message.parts() > 0) {
+        std::optional<std::string> document =
+            m_documentParts.add(reading->digest, message.part(), message.parts(), message.document_part());
+        if (!document) {
+            // If a part is lost, the next statement says so.
+            return;
+        }
+        reading->document = std::move(*document);
+    }
+    m_onReading(*reading);
+}
+
+void PeerNetwork::askForTargets(const VmId &vm, const ShortDigests &digests)
+{
+    if (const VmRecord *const record = m_roster.find(vm)) {
+        peer::Datagram datagram;
+        datagram.mutable_target_question()->mutable_digests()->Add(digests.begin(), digests.end());
+        send(*record, datagram);
+    }
+}
+
+void PeerNetwork::sendTargets(const VmId &vm, const TargetStatement &statement)
+{
+    const VmRecord *const record = m_roster.find(vm);
+    if (record == nullptr) {
+        return;
+    }
+    for (peer::TargetAnswer &answer : encodeTargetStatement(statement, m_loop.now())) {
+        peer::Datagram datagram;
+        *datagram.mutable_target_answer() = std::move(answer);
+        send(*record, datagram);
+    }
+}
+
+void PeerNetwork::takeTargets(const VmRecord &sender, const peer::Datagram &datagram)
+{
+    ShortDigests digests {};
+    if (datagram.target_question().digests_size() == static_cast<int>(digests.size())) {
+        std::copy(datagram.target_question().digests().begin(), datagram.target_question().digests().end(),
+                  digests.begin());
+        m_onTargetQuestion(sender.vm, digests);
+    }
+    if (datagram.has_target_answer()) {
+        if (const std::optional<TargetStatement> statement =
+                decodeTargetStatement(datagram.target_answer(), m_loop.now())) {
+            m_onTargetStatement(*statement);
+        }
+    }
+}
+
+void PeerNetwork::sendTo(const RegionId &region, const peer::Datagram &datagram)
+{
+    for (const VmRecord &peer : m_roster.peersIn(region)) {
+        send(peer, datagram);
+    }
+}
+
+void PeerNetwork::spreadSuspect(const CrashSuspect &suspect)
+{
+    m_suspectNews.add(suspect);
+    m_suspectTimer.start(m_suspectNews.nextAt());
+}
+
+void PeerNetwork::sendSuspects(const std::vector<CrashSuspect> &suspects)
+{
+    if (suspects.empty()) {
+        return;
+    }
+    const TimePoint now = m_loop.now();
+    peer::Datagram datagram;
+    for (const CrashSuspect &suspect : suspects) {
+        peer::CrashSuspect &entry = *datagram.add_suspects();
+        entry.set_fingerprint(suspect.fingerprint.text());
+        entry.set_crashes(static_cast<std::uint32_t>(suspect.crashes));
+        entry.set_age(static_cast<std::uint32_t>(millisecondsBetween(suspect.lastSeenAt, now)));
+    }
+    for (const RegionId &region : m_roster.regions()) {
+        sendTo(region, datagram);
+    }
+}
+
+void PeerNetwork::receive(const Poco::Net::SocketAddress &sender, std::string_view bytes)
+{
+    peer::Datagram datagram;
+    if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        if (m_rejected++ == 0) {
+            logEvent(PeerEvents::datagramRejected, { { "sender", sender.toString() }, { "bytes", bytes.size() } });
+        }
+        return;
+    }
+    const VmRecord *const record = m_roster.find(VmId(datagram.vm()));
+    if (record == nullptr) {
+        // A VM that entered a moment ago is not in the list yet. What it says is taken once the list names it.
+        m_onStranger();
+        return;
+    }
+    if (record->peerAddress != sender.toString() || datagram.started() < record->startedAtMilliseconds) {
+        return;
+    }
+    const VmRecord peer = *record;
+    if (datagram.has_presence()) {
+        takePresence(peer, datagram);
+    }
+    if (datagram.has_region()) {
+        m_demands.takeRegion(RegionId(datagram.region().region()), readDemands(datagram.region().demands()),
+                             m_loop.now());
+    }
+    for (const peer::Reading &message : datagram.readings()) {
+        takeReading(peer, message);
+    }
+    for (const peer::CrashSuspect &entry : datagram.suspects()) {
+        m_onSuspect({ Fingerprint(entry.fingerprint()), m_loop.now() - Milliseconds(entry.age()),
+                      static_cast<int>(entry.crashes()) });
+    }
+    takeTargets(peer, datagram);
+    takeLoans(peer, datagram);
+}
+
+void PeerNetwork::takePresence(const VmRecord &sender, const peer::Datagram &datagram)
+{
+    const bool isNewProcess = datagram.started() > sender.startedAtMilliseconds;
+    const bool isFirst = m_known.insert(sender.vm).second;
+    const bool isLeaving = datagram.presence().is_leaving();
+    m_demands.takeVm(sender.vm, readDemands(datagram.presence().demands()), m_loop.now());
+    m_roster.noteHeard(sender.vm, datagram.started(), { isLeaving, datagram.presence().cannot_read() }, m_loop.now());
+    if (isNewProcess || isFirst) {
+        // It knows nothing of this VM yet.
+        send(sender, presence());
+    }
+    if (isLeaving && m_serving.erase(sender.vm) > 0) {
+        logEvent(PeerEvents::peerLeaving, { { "vm", sender.vm } });
+    } else if (!isLeaving && m_serving.insert(sender.vm).second) {
+        logEvent(PeerEvents::peerHeard, { { "vm", sender.vm }, { "started", datagram.started() } });
+    }
+}
+
+void PeerNetwork::takeLoans(const VmRecord &sender, const peer::Datagram &datagram)
+{
+    const TimePoint now = m_loop.now();
+    if (datagram.has_wish()) {
+        const LoanQuestion question { datagram.wish().id(), CustomerId(datagram.wish().customer()),
+                                      Tokens(datagram.wish().tokens()) };
+        const LoanReply reply = m_loans.answer(question, now);
+        peer::Datagram answer;
+        answer.mutable_grant()->set_id(reply.id);
+        answer.mutable_grant()->set_tokens(static_cast<std::uint32_t>(reply.tokens.value()));
+        send(sender, answer);
+    }
+    if (datagram.has_grant()) {
+        m_loans.takeReply(sender.vm, { datagram.grant().id(), Tokens(datagram.grant().tokens()) }, now);
+        m_onTokens();
+    }
+}
+
+void PeerNetwork::watchSilence()
+{
+    for (auto vm = m_serving.begin(); vm != m_serving.end();) {
+        if (m_roster.isServing(*vm, m_loop.now())) {
+            ++vm;
+            continue;
+        }
+        logEvent(PeerEvents::peerSilent, { { "vm", *vm } });
+        vm = m_serving.erase(vm);
+    }
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <LibPeer/DemandBook.h>
+#include <LibPeer/DocumentParts.h>
+#include <LibPeer/LoanDesk.h>
+#include <LibPeer/PeerSocket.h>
+#include <LibPeer/ReadingPeers.h>
+#include <LibPeer/SuspectNews.h>
+#include <LibSteering/TargetReport.h>
+
+#include <Peer.pb.h>
+
+#include <memory>
+#include <set>
+
+namespace Sapphire {
+
+/// The VMs of a deployment among themselves: those of one region tell each other that they live, and all lend tokens.
+class PeerNetwork final : public ReadingPeers
+{
+public:
+    /// Fails with Unavailable if the address can't be used. Roster and quotas must outlive it.
+    [[nodiscard]] static Result<std::unique_ptr<PeerNetwork>> create(EventLoop &loop, const VmRecord &own,
+                                                                     VmRoster &roster, QuotaBook &quotas);
+
+    /// Takes the complete list of VMs.
+    void applyRecords(const std::vector<VmRecord> &records);
+    /// Tells the other VMs that this one is stopping.
+    void leave();
+    /// Sets a function that is called when a VM speaks that is not in the list.
+    void onStranger(std::function<void()> callback)
+    {
+        m_onStranger = std::move(callback);
+    }
+    void setReadable(ReadingSubject list, bool isReadable) override;
+    void tellReading(const Reading &reading) override;
+    void tellRelays(const Reading &reading, std::string_view list) override;
+    void askForTargets(const VmId &vm, const ShortDigests &digests) override;
+    void sendTargets(const VmId &vm, const TargetStatement &statement) override;
+    /// Sets a function that answers a VM that lacks targets.
+    void onTargetQuestion(std::function<void(const VmId &, const ShortDigests &)> callback)
+    {
+        m_onTargetQuestion = std::move(callback);
+    }
+    /// Sets a function that takes the answer to askForTargets().
+    void onTargetStatement(std::function<void(const TargetStatement &)> callback)
+    {
+        m_onTargetStatement = std::move(callback);
+    }
+    /// Sets a function that takes what VMs of the own region have read.
+    void onReading(std::function<void(const Reading &)> callback)
+    {
+        m_onReading = std::move(callback);
+    }
+    /// Tells all other VMs of a request that makes targets fail.
+    void spreadSuspect(const CrashSuspect &suspect);
+    /// Sets a function that takes what other VMs tell of such requests.
+    void onSuspect(std::function<void(const CrashSuspect &)> callback)
+    {
+        m_onSuspect = std::move(callback);
+    }
+    /// Sets where the demand of this VM's callers is known from.
+    void setDemandProvider(std::function<ServiceDemands()> provider)
+    {
+        m_demandProvider = std::move(provider);
+    }
+    const DemandBook &demands() const
+    {
+        return m_demands;
+    }
+    LoanDesk &loans()
+    {
+        return m_loans;
+    }
+    /// Sets a function that is called when tokens may have come.
+    void onTokens(std::function<void()> callback)
+    {
+        m_onTokens = std::move(callback);
+    }
+
+private:
+    PeerNetwork(EventLoop &loop, VmRecord own, VmRoster &roster, QuotaBook &quotas);
+
+    void receive(const Poco::Net::SocketAddress &sender, std::string_view bytes);
+    void takePresence(const VmRecord &sender, const peer::Datagram &datagram);
+    void takeLoans(const VmRecord &sender, const peer::Datagram &datagram);
+    void announce();
+    void announcePresence();
+    void takeReading(const VmRecord &sender, const peer::Reading &message);
+    void takeTargets(const VmRecord &sender, const peer::Datagram &datagram);
+    void sendTo(const RegionId &region, const peer::Datagram &datagram);
+    void stateDemands();
+    void watchSilence();
+    void sendSuspects(const std::vector<CrashSuspect> &suspects);
+    peer::Datagram presence() const;
+    void send(const VmRecord &peer, const peer::Datagram &datagram);
+
+    EventLoop &m_loop;
+    VmRecord m_own;
+    VmRoster &m_roster;
+    LoanDesk m_loans;
+    DemandBook m_demands;
+    std::function<ServiceDemands()> m_demandProvider { [] {
+        return ServiceDemands();
+    } };
+    std::size_t m_statements { 0 }; ///< Sent to other regions.
+    std::unique_ptr<PeerSocket> m_socket;
+    Timer m_heartbeat;
+    Timer m_suspectTimer;
+    Timer m_loanTimer;
+    std::function<void()> m_onTokens { [] {} };
+    std::function<void()> m_onStranger { [] {} };
+    std::function<void(const Reading &)> m_onReading { [](const Reading &) {} };
+    std::function<void(const VmId &, const ShortDigests &)> m_onTargetQuestion { [](const VmId &,
+                                                                                    const ShortDigests &) {} };
+    std::function<void(const TargetStatement &)> m_onTargetStatement { [](const TargetStatement &) {} };
+    std::function<void(const CrashSuspect &)> m_onSuspect { [](const CrashSuspect &) {} };
+    SuspectNews m_suspectNews;
+    std::set<ReadingSubject> m_unreadable; ///< Lists that this VM can't read.
+    DocumentParts m_documentParts; ///< Of rules; one VM tells them at a time.
+    std::set<VmId> m_known; ///< To which this VM has announced itself.
+    std::set<VmId> m_serving; ///< As logged last.
+    std::uint64_t m_rejected { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPeer/PeerSocket.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibNet/EventLoop.h>
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Sapphire {
+
+/// Sends and receives datagrams. They may be lost, repeated and reordered.
+class PeerSocket final : private DescriptorListener
+{
+public:
+    using Receiver = std::function<void(const Poco::Net::SocketAddress &sender, std::string_view bytes)>;
+
+    /// Fails with Unavailable if the address can't be used.
+    [[nodiscard]] static Result<std::unique_ptr<PeerSocket>>
+    create(EventLoop &loop, const Poco::Net::SocketAddress &address, Receiver receiver);
+    ~PeerSocket() override;
+
+    /// Sends without waiting. A datagram that the kernel does not take is lost.
+    void send(const Poco::Net::SocketAddress &address, const std::string &bytes);
+    /// Datagrams that the kernel did not take.
+    std::uint64_t lostCount() const
+    {
+        return m_lost;
+    }
+
+private:
+    PeerSocket(EventLoop &loop, const Poco::Net::DatagramSocket &socket, Receiver receiver);
+
+    void descriptorReady(const DescriptorEvents &events) override;
+
+    EventLoop &m_loop;
+    Poco::Net::DatagramSocket m_socket;
+    Receiver m_receiver;
+    std::uint64_t m_lost { 0 };
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPeer/Reading.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibSteering/TargetList.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Sapphire {
+
+/// What VMs read at the platform and tell each other of.
+enum class ReadingSubject {
+    Rules,
+    Targets,
+};
+
+/// One VM's statement of what it has read.
+struct Reading
+{
+    ReadingSubject subject { ReadingSubject::Rules };
+    std::uint64_t digest { 0 };
+    TimePoint readAt {};
+    TargetListChange change {}; ///< Of targets, against the list that the reader knew before.
+    std::string document {}; ///< Of rules, if they are news: from which other VMs can read them, too.
+    VmId toldBy {}; ///< Empty for this VM's own reading.
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPeer/TargetStatementCodec.cpp
@@ -0,0 +1,162 @@
+#include <LibPeer/TargetStatementCodec.h>
+
+#include <LibPeer/WireTimes.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstring>
+#include <map>
+
+namespace Sapphire {
+
+namespace {
+
+// Below the usual size of a packet, with room for the rest of the datagram.
+constexpr std::size_t mostBytesPerMessage = 1'250;
+constexpr std::size_t ipv4Bytes = 4;
+
+/// Writes targets whose services and zones are named once in each message.
+class Encoder
+{
+public:
+    Encoder(const TargetStatement &statement, TimePoint now) : m_statement(statement), m_now(now)
+    {
+    }
+
+    std::vector<peer::TargetAnswer> encode()
+    {
+        begin();
+        for (const TargetBucket &bucket : m_statement.buckets) {
+            if (m_messages.back().ByteSizeLong() > mostBytesPerMessage - estimate(bucket)
+                && m_messages.back().buckets_size() > 0) {
+                begin();
+            }
+            encodeBucket(bucket);
+        }
+        return std::move(m_messages);
+    }
+
+private:
+    static std::size_t estimate(const TargetBucket &bucket)
+    {
+        constexpr std::size_t bytesPerTarget = 45;
+        return std::min(mostBytesPerMessage, bucket.targets.size() * bytesPerTarget);
+    }
+
+    void begin()
+    {
+        peer::TargetAnswer &message = m_messages.emplace_back();
+        message.set_is_known(m_statement.isKnown);
+        message.set_digest(m_statement.digest);
+        message.set_age(millisecondsUntil(m_statement.readAt, m_now));
+        m_services.clear();
+        m_zones.clear();
+    }
+
+    void encodeBucket(const TargetBucket &bucket)
+    {
+        peer::TargetAnswer &message = m_messages.back();
+        peer::TargetBucket &entry = *message.add_buckets();
+        entry.set_index(static_cast<std::uint32_t>(bucket.index));
+        for (const KnownTarget &target : bucket.targets) {
+            peer::ShortTarget &wire = *entry.add_targets();
+            wire.set_id(target.id.text());
+            wire.set_service(nameIndex(m_services, target.service.text(), *message.mutable_services()));
+            wire.set_zone(nameIndex(m_zones, target.availabilityZone.text(), *message.mutable_zones()));
+            encodeAddress(target.address, wire);
+            wire.set_slots(static_cast<std::uint32_t>(target.slots));
+            wire.set_is_draining(target.isDraining);
+            wire.set_cold_left(millisecondsUntil(m_now, target.coldUntil));
+            wire.set_started(target.startedAtMilliseconds);
+            wire.set_sequence(target.sequence);
+        }
+    }
+
+    static std::uint32_t nameIndex(std::map<std::string, std::uint32_t> &known, const std::string &name,
+                                   google::protobuf::RepeatedPtrField<std::string> &names)
+    {
+        const auto [entry, isNew] = known.try_emplace(name, static_cast<std::uint32_t>(names.size()));
+        if (isNew) {
+            *names.Add() = name;
+        }
+        return entry->second;
+    }
+
+    static void encodeAddress(const std::string &address, peer::ShortTarget &wire)
+    {
+        const Poco::Net::SocketAddress parsed(address);
+        wire.set_ip(static_cast<const char *>(parsed.host().addr()), static_cast<std::size_t>(parsed.host().length()));
+        wire.set_port(parsed.port());
+    }
+
+    const TargetStatement &m_statement;
+    TimePoint m_now;
+    std::vector<peer::TargetAnswer> m_messages;
+    std::map<std::string, std::uint32_t> m_services;
+    std::map<std::string, std::uint32_t> m_zones;
+};
+
+std::optional<KnownTarget> decodeTarget(const peer::ShortTarget &wire, const peer::TargetAnswer &message, TimePoint now)
+{
+    const bool isSound = static_cast<int>(wire.service()) < message.services_size()
+        && static_cast<int>(wire.zone()) < message.zones_size() && wire.ip().size() == ipv4Bytes && wire.slots() > 0;
+    if (!isSound) {
+        return std::nullopt;
+    }
+    const Poco::Net::IPAddress ip(wire.ip().data(), static_cast<poco_socklen_t>(wire.ip().size()));
+    KnownTarget target;
+    target.id = TargetId(wire.id());
+    target.service = ServiceId(message.services(static_cast<int>(wire.service())));
+    target.availabilityZone = AvailabilityZoneId(message.zones(static_cast<int>(wire.zone())));
+    target.address = ip.toString() + ":" + std::to_string(wire.port());
+    target.slots = static_cast<int>(wire.slots());
+    target.isDraining = wire.is_draining();
+    target.coldUntil = now + Milliseconds(wire.cold_left());
+    target.startedAtMilliseconds = wire.started();
+    target.sequence = wire.sequence();
+    return target;
+}
+
+} // namespace
+
+ShortDigests shortDigests(const TargetList &list)
+{
+    const TargetList::BucketDigests digests = list.bucketDigests();
+    ShortDigests told {};
+    for (std::size_t index = 0; index < told.size(); ++index) {
+        told[index] = static_cast<std::uint32_t>(digests[index]);
+    }
+    return told;
+}
+
+std::vector<peer::TargetAnswer> encodeTargetStatement(const TargetStatement &statement, TimePoint now)
+{
+    return Encoder(statement, now).encode();
+}
+
+std::optional<TargetStatement> decodeTargetStatement(const peer::TargetAnswer &message, TimePoint now)
+{
+    TargetStatement statement;
+    statement.isKnown = message.is_known();
+    statement.digest = message.digest();
+    statement.readAt = now - Milliseconds(message.age());
+    for (const peer::TargetBucket &wire : message.buckets()) {
+        if (wire.index() >= TargetList::bucketCount) {
+            return std::nullopt;
+        }
+        TargetBucket bucket;
+        bucket.index = wire.index();
+        for (const peer::ShortTarget &entry : wire.targets()) {
+            std::optional<KnownTarget> target = decodeTarget(entry, message, now);
+            if (!target) {
+                return std::nullopt;
+            }
+            bucket.targets.push_back(std::move(*target));
+        }
+        statement.buckets.push_back(std::move(bucket));
+    }
+    return statement;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibPeer/TargetStatementCodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibPeer/TargetStatement.h>
+
+#include <Peer.pb.h>
+
+#include <optional>
+
+namespace Sapphire {
+
+/// Writes the statement as messages of which each fits into a datagram that is not divided on its way.
+std::vector<peer::TargetAnswer> encodeTargetStatement(const TargetStatement &statement, TimePoint now);
+
+/// Returns nothing for a message that contradicts itself.
+std::optional<TargetStatement> decodeTargetStatement(const peer::TargetAnswer &message, TimePoint now);
+
+} // namespace Sapphire
--- /dev/null
+++ b/Tests/LibPeer/TestDocumentParts.cpp
@@ -0,0 +1,64 @@
+#include <LibPeer/DocumentParts.h>
+
+#include <LibCore/RandomSource.h>
+
+#include <doctest/doctest.h>
+
+using namespace Sapphire;
+
+namespace {
+
+/// A text that hardly gets shorter by compression.
+std::string randomText(std::size_t bytes)
+{
+    RandomSource random(7);
+    std::string text;
+    for (std::size_t i = 0; i < bytes; ++i) {
+        text += static_cast<char>(random.below(256));
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("DocumentParts puts a document together in any order of its parts")
+{
+    // Guards against rules that arrive in another form than they were told.
+    for (const std::size_t bytes : { std::size_t { 1 }, std::size_t { 6'000 }, std::size_t { 20'000 } }) {
+        const std::string document = randomText(bytes);
+        const std::vector<std::string> parts = divideDocument(document);
+        REQUIRE(!parts.empty());
+        DocumentParts receiver;
+        std::optional<std::string> whole;
+        for (std::size_t i = parts.size(); i > 0; --i) {
+            CHECK(!whole);
+            whole = receiver.add(1, i - 1, parts.size(), parts[i - 1]);
+        }
+        CHECK(whole == document);
+    }
+}
+
+TEST_CASE("DocumentParts mixes no parts of two documents")
+{
+    // Guards against rules that nobody has written, after a lost datagram.
+    const std::vector<std::string> first = divideDocument(randomText(10'000));
+    const std::vector<std::string> second = divideDocument(randomText(11'000));
+    REQUIRE(first.size() == 2);
+    REQUIRE(second.size() == 2);
+    DocumentParts receiver;
+    CHECK(!receiver.add(1, 0, 2, first[0]));
+    CHECK(!receiver.add(2, 1, 2, second[1]));
+    CHECK(!receiver.add(1, 1, 2, first[1]));
+    CHECK(receiver.add(1, 0, 2, first[0]) == randomText(10'000));
+}
+
+TEST_CASE("DocumentParts survives parts that make no sense")
+{
+    // Guards against a VM of another release, or a stranger, that stops this one.
+    DocumentParts receiver;
+    CHECK(!receiver.add(1, 0, 0, "x"));
+    CHECK(!receiver.add(1, 3, 2, "x"));
+    CHECK(!receiver.add(1, 0, 1'000'000, "x"));
+    CHECK(!receiver.add(1, 0, 1, "no compressed document"));
+    CHECK(divideDocument(randomText(100'000)).empty());
+}
--- /dev/null
+++ b/Tests/LibPeer/TestTargetStatementCodec.cpp
@@ -0,0 +1,100 @@
+#include <LibPeer/TargetStatementCodec.h>
+
+#include <doctest/doctest.h>
+
+using namespace Sapphire;
+
+namespace {
+
+constexpr TimePoint now { Milliseconds(1'000'000) };
+
+KnownTarget target(int number)
+{
+    KnownTarget result;
+    result.id = TargetId("i-00000000" + std::to_string(number));
+    result.service = ServiceId("service-" + std::to_string(number % 3));
+    result.address = "10.1.2." + std::to_string(number % 200) + ":" + std::to_string(8'000 + number);
+    result.availabilityZone = AvailabilityZoneId("zone-" + std::to_string(number % 9));
+    result.slots = 1 + number % 9;
+    result.isDraining = number % 5 == 0;
+    result.coldUntil = number % 7 == 0 ? now + Milliseconds(1'500) : now;
+    result.startedAtMilliseconds = 1'790'254'589'050 + number;
+    result.sequence = static_cast<std::uint64_t>(number);
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A statement of thousands of targets fits into datagrams that are not divided, and is read back")
+{
+    // Guards against targets that change on their way from VM to VM, and against datagrams that are lost as a whole
+    // because one of several packets was.
+    constexpr int count = 3'000;
+    constexpr std::size_t mostBytes = 1'400;
+    TargetList list;
+    std::vector<KnownTarget> targets;
+    targets.reserve(count);
+    for (int i = 0; i < count; ++i) {
+        targets.push_back(target(i));
+    }
+    list.applyWhole(targets, {}, now, targets.size());
+    TargetStatement statement;
+    statement.digest = list.digest();
+    statement.readAt = now - Milliseconds(700);
+    for (std::size_t index = 0; index < TargetList::bucketCount; ++index) {
+        statement.buckets.push_back({ index, list.bucket(index) });
+    }
+    TargetList copy;
+    const std::vector<peer::TargetAnswer> messages = encodeTargetStatement(statement, now);
+    for (const peer::TargetAnswer &message : messages) {
+        CHECK(message.ByteSizeLong() <= mostBytes);
+        const std::optional<TargetStatement> read = decodeTargetStatement(message, now);
+        REQUIRE(read);
+        CHECK(read->isKnown);
+        CHECK(read->readAt == statement.readAt);
+        CHECK(read->digest == statement.digest);
+        for (const TargetBucket &bucket : read->buckets) {
+            copy.replaceBucket(bucket.index, bucket.targets);
+        }
+    }
+    CHECK(copy.digest() == list.digest());
+    CHECK(shortDigests(copy) == shortDigests(list));
+    // At this size a bucket fills less than half of a datagram.
+    CHECK(messages.size() < TargetList::bucketCount);
+    for (std::size_t index = 0; index < TargetList::bucketCount; ++index) {
+        const std::vector<KnownTarget> before = list.bucket(index);
+        const std::vector<KnownTarget> after = copy.bucket(index);
+        REQUIRE(before.size() == after.size());
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            CHECK(after[i].sequence == before[i].sequence);
+            CHECK(after[i].coldUntil == before[i].coldUntil);
+        }
+    }
+}
+
+TEST_CASE("An answer of a VM without a list is one message")
+{
+    // Guards against a VM that waits for a list that nobody has.
+    TargetStatement statement;
+    statement.isKnown = false;
+    const std::vector<peer::TargetAnswer> messages = encodeTargetStatement(statement, now);
+    REQUIRE(messages.size() == 1);
+    const std::optional<TargetStatement> read = decodeTargetStatement(messages.front(), now);
+    REQUIRE(read);
+    CHECK(!read->isKnown);
+}
+
+TEST_CASE("A statement that contradicts itself is dropped")
+{
+    // Guards against a process that ends because of another release's or another program's datagram.
+    peer::TargetAnswer message;
+    message.set_is_known(true);
+    message.add_buckets()->set_index(TargetList::bucketCount);
+    CHECK(!decodeTargetStatement(message, now));
+    message.mutable_buckets(0)->set_index(0);
+    peer::ShortTarget &entry = *message.mutable_buckets(0)->add_targets();
+    entry.set_service(7);
+    entry.set_slots(1);
+    entry.set_ip("abcd");
+    CHECK(!decodeTargetStatement(message, now));
+}
