LibGateway: Take requests from callers to targets

Change: GatewayRequest, RequestDispatcher, TargetSession and health checks join LibNet with the decisions of LibSteering: keys, routes, homes, quotas, at most one run of a booking, answers passed on as they come, cancelled work, planned stops.

--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,307 @@
+#include <LibGateway/Gateway.h>
+
+#include <LibCore/Duration.h>
+#include <LibGateway/GatewayEvents.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr Milliseconds housekeepingInterval { 500 };
+// A VM that leaves takes requests for this part of its stop timeout, so that callers with old look-ups are served.
+constexpr double acceptingPart = 0.4;
+// It stays for this part to answer callers that still come.
+constexpr double stayingPart = 0.9;
+// For the last answers to leave the process.
+constexpr Milliseconds lastAnswerTime { 100 };
+constexpr Milliseconds shortRetry { 100 };
+// Other VMs may know of fewer or more VMs for a while, and requests are counted where they arrive, a little later.
+constexpr double usableSlack = 0.7;
+constexpr double usableRatio = 0.9;
+
+/// Returns the customers' rates and bursts for the log.
+std::string limitsText(const ServingRules &rules)
+{
+    std::string text;
+    for (const CustomerRules &customer : rules.customers()) {
+        text += text.empty() ? "" : " ";
+        text += customer.id.text() + "=" + std::to_string(std::lround(customer.ratePerSecond)) + "/"
+            + std::to_string(std::lround(customer.burst));
+    }
+    return text;
+}
+
+} // namespace
+
+Gateway::Gateway(EventLoop &loop, GatewaySettings settings, Metrics &metrics)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_metrics(metrics)
+    , m_targets(loop, m_settings.names, m_settings.regionsByZone)
+    , m_retryBudget(m_settings.retryBudget)
+    , m_quotas(m_settings.vm, m_settings.quota)
+    , m_quotaWaiters(loop, m_quotas)
+    , m_crashWatch([this](const CrashSuspect &suspect) {
+        logEvent(GatewayEvents::crashSuspected,
+                 { { "fingerprint", suspect.fingerprint }, { "crashes", suspect.crashes } });
+        m_suspectSpreader(suspect);
+    })
+    , m_dispatcher(*this, m_targets, m_settings.place)
+    , m_healthChecker(
+          loop, m_settings.names, m_targets,
+          [this](const ServiceId &service) {
+              m_dispatcher.capacityChanged(service);
+          },
+          [this](const TargetId &target) {
+              m_crashWatch.noteEnded(target, m_loop.now());
+          })
+    , m_housekeeping(loop,
+                     [this] {
+                         housekeep();
+                     })
+    , m_stopTimer(loop,
+                  [this] {
+                      answerRemaining();
+                  })
+    , m_exitTimer(loop, [this] {
+        m_onStopped();
+    })
+{
+    m_housekeeping.start(Deadline::after(loop.now(), housekeepingInterval));
+    divideRetryBudget();
+}
+
+Gateway::~Gateway() = default;
+
+Result<std::unique_ptr<Gateway>> Gateway::create(EventLoop &loop, GatewaySettings settings, Metrics &metrics)
+{
+    const Poco::Net::SocketAddress address(settings.callerAddress);
+    std::unique_ptr<Gateway> gateway(new Gateway(loop, std::move(settings), metrics));
+    BOOST_LEAF_ASSIGN(gateway->m_listener, HttpListener::create(loop, address, *gateway, *gateway));
+    logEvent(GatewayEvents::gatewayStarted, { { "vm", gateway->m_settings.vm }, { "address", address.toString() } });
+    return gateway;
+}
+
+void Gateway::applyRules(const RefPointer<const ServingRules> &rules)
+{
+    if (m_rules && rules->version() <= m_rules->version()) {
+        return;
+    }
+    m_rules = rules;
+    m_split.retain(*rules);
+    m_quotas.applyRules(rules, m_loop.now());
+    m_targets.applyColdStart(rules, m_settings.coldStart);
+    m_healthChecker.applyRules(rules);
+    m_dispatcher.applyRules(rules);
+    logEvent(GatewayEvents::rulesInForce,
+             { { "configuration", rules->version() },
+               { "routes", rules->routes().size() },
+               { "services", rules->services().size() },
+               { "customers", rules->customers().size() },
+               { "limits", limitsText(*rules) } });
+}
+
+void Gateway::applyTargets(const TargetListChange &change)
+{
+    m_hasTargets = true;
+    m_targets.applyChange(change);
+}
+
+void Gateway::applyEvacuations(const std::set<AvailabilityZoneId> &zones)
+{
+    m_targets.applyEvacuations(zones);
+}
+
+void Gateway::applyVms(const VmsByRegion &vms)
+{
+    if (vms == m_vms) {
+        return;
+    }
+    m_vms = vms;
+    m_quotas.applyVms(vms, m_loop.now());
+    m_targets.applyVms(vms, m_settings.vm);
+    divideRetryBudget();
+}
+
+void Gateway::reconfigure(const GatewaySettings &settings)
+{
+    m_settings.stopTimeout = settings.stopTimeout;
+    m_settings.retryBudget = settings.retryBudget;
+    m_settings.quota = settings.quota;
+    m_settings.coldStart = settings.coldStart;
+    m_quotas.configure(m_settings.quota, m_loop.now());
+    if (m_rules) {
+        m_targets.applyColdStart(m_rules, m_settings.coldStart);
+    }
+    divideRetryBudget();
+}
+
+void Gateway::divideRetryBudget()
+{
+    // Until the list of VMs is known, this one claims nothing of what they share.
+    ServiceRetryBudgetSettings budget { 0, 0, m_settings.retryBudget.window };
+    if (!m_vms.isEmpty()) {
+        budget.ratio = m_settings.retryBudget.ratio * usableRatio;
+        budget.slack = m_settings.retryBudget.slack * usableSlack / static_cast<double>(m_vms.vmCount());
+    }
+    m_retryBudget.configure(budget);
+}
+
+bool Gateway::isReady() const
+{
+    return m_rules && m_hasTargets && !m_isLeaving;
+}
+
+void Gateway::leave(std::function<void()> onStopped)
+{
+    if (m_isLeaving) {
+        return;
+    }
+    // Open connections stay, since a request may be on its way on each of them; answers tell callers to close them.
+    m_isLeaving = true;
+    m_onStopped = std::move(onStopped);
+    const TimePoint now = m_loop.now();
+    m_refuseFrom = Deadline::after(now, scaled(m_settings.stopTimeout, acceptingPart));
+    logEvent(GatewayEvents::gatewayLeaving, { { "vm", m_settings.vm }, { "requests", m_active.size() } });
+    m_stopTimer.start(Deadline::after(now, scaled(m_settings.stopTimeout, stayingPart)));
+}
+
+void Gateway::answerRemaining()
+{
+    logEvent(GatewayEvents::gatewayStopped, { { "vm", m_settings.vm }, { "requests", m_active.size() } });
+    const std::set<RefPointer<GatewayRequest>> remaining = m_active;
+    for (const RefPointer<GatewayRequest> &request : remaining) {
+        request->giveUp();
+    }
+    m_exitTimer.start(Deadline::after(m_loop.now(), lastAnswerTime));
+}
+
+bool Gateway::refusesNew() const
+{
+    return m_isLeaving && m_refuseFrom.hasPassed(m_loop.now());
+}
+
+bool Gateway::mayRetry(const ServiceId &service)
+{
+    return m_retryBudget.mayRetry(service, m_loop.now());
+}
+
+Deadline Gateway::soon() const
+{
+    return Deadline::after(m_loop.now(), shortRetry);
+}
+
+void Gateway::noteBegun(GatewayRequest &request)
+{
+    m_active.insert(&request);
+}
+
+void Gateway::noteSent(const GatewayRequest &request, bool isRetry)
+{
+    if (isRetry) {
+        m_retryBudget.noteRetry(request.service(), m_loop.now());
+    } else {
+        m_retryBudget.noteRequest(request.service(), m_loop.now());
+    }
+}
+
+void Gateway::noteAnswered(const GatewayRequest &request, RequestAttempt &attempt)
+{
+    GatewayTarget &target = attempt.target();
+    target.noteSuccess();
+    m_dispatcher.noteAnswer(request, attempt);
+    m_crashWatch.noteAnswered(request.fingerprint(), m_loop.now());
+    m_metrics.counter("sapphire_requests_total", "outcome=\"answered\"").add();
+    m_metrics.histogram("sapphire_request_seconds").record(m_loop.now() - request.arrivedAt());
+    m_dispatcher.capacityChanged(request.service());
+}
+
+void Gateway::noteFailed(const GatewayRequest &request, RequestAttempt &attempt, const AttemptFailure &failure)
+{
+    GatewayTarget &target = attempt.target();
+    const TimePoint now = m_loop.now();
+    bool isTakenOut = false;
+    if (failure.verdict != Verdict::NotRun && !failure.isStaleConnection) {
+        target.quality().noteFailure(now);
+    }
+    switch (failure.kind) {
+    case AttemptFailure::Kind::Shed:
+        target.load().noteShed(now);
+        break;
+    case AttemptFailure::Kind::WrongTarget:
+    case AttemptFailure::Kind::NotConnected:
+        isTakenOut = !target.failures().isOut();
+        target.noteUnreachable(now);
+        target.setSuspect();
+        target.closeIdle(true);
+        m_crashWatch.noteEnded(target.id(), now);
+        break;
+    case AttemptFailure::Kind::Broken:
+        // It may have started anew, with empty caches.
+        target.setSuspect();
+        if (!failure.isStaleConnection) {
+            m_crashWatch.noteBroken(target.id(), request.fingerprint(), now);
+        }
+        isTakenOut = !failure.isStaleConnection && target.noteFailure(now);
+        break;
+    case AttemptFailure::Kind::Malformed:
+        isTakenOut = target.noteFailure(now);
+        break;
+    }
+    if (isTakenOut) {
+        logEvent(GatewayEvents::targetOut, { { "target", target.id() }, { "detail", failure.detail } });
+    }
+    m_dispatcher.capacityChanged(request.service());
+}
+
+void Gateway::noteTimeout(const GatewayRequest &request, RequestAttempt &attempt)
+{
+    m_dispatcher.noteTimeout(request, attempt);
+    if (attempt.target().noteFailure(m_loop.now())) {
+        logEvent(GatewayEvents::targetOut, { { "target", attempt.target().id() }, { "detail", "no answer in time" } });
+    }
+    m_dispatcher.capacityChanged(request.service());
+}
+
+void Gateway::noteRefused(const GatewayRequest &, const Refusal &refusal)
+{
+    m_metrics.counter("sapphire_refusals_total", "reason=\"" + std::string(nameOf(refusal.reason)) + "\"").add();
+}
+
+void Gateway::noteEnded(GatewayRequest &request)
+{
+    m_active.erase(&request);
+}
+
+RefPointer<HttpRequestHandler> Gateway::createHandler()
+{
+    return makeRefCounted<GatewayRequest>(*this);
+}
+
+HttpServerLimits Gateway::limits() const
+{
+    HttpServerLimits limits;
+    if (m_rules) {
+        limits.headBytes = m_rules->limits().headBytes;
+        limits.headTimeout = m_rules->limits().headTimeout;
+        limits.idleTimeout = m_rules->limits().idleTimeout;
+    }
+    return limits;
+}
+
+bool Gateway::isClosing() const
+{
+    return m_isLeaving;
+}
+
+void Gateway::housekeep()
+{
+    m_targets.closeIdle();
+    m_crashWatch.expire(m_loop.now());
+    m_housekeeping.start(Deadline::after(m_loop.now(), housekeepingInterval));
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <LibGateway/GatewaySettings.h>
+#include <LibGateway/HealthChecker.h>
+#include <LibGateway/QuotaWaiters.h>
+#include <LibGateway/RequestDispatcher.h>
+#include <LibNet/HttpListener.h>
+#include <LibSteering/QuotaBook.h>
+#include <LibSteering/ServiceSplit.h>
+
+#include <memory>
+#include <set>
+
+namespace Sapphire {
+
+/// The part of a VM that stands between callers and targets. Belongs to the thread of its event loop.
+class Gateway final : private HttpHandlerFactory, private HttpServerPolicy
+{
+public:
+    /// Listens for callers. Fails with Unavailable if the address can't be used.
+    [[nodiscard]] static Result<std::unique_ptr<Gateway>> create(EventLoop &loop, GatewaySettings settings,
+                                                                 Metrics &metrics);
+    ~Gateway() override;
+
+    /// Takes a newer version of the operator's rules; older ones are ignored.
+    void applyRules(const RefPointer<const ServingRules> &rules);
+    /// Takes what is new in the list of targets.
+    void applyTargets(const TargetListChange &change);
+    void applyEvacuations(const std::set<AvailabilityZoneId> &zones);
+    /// Takes all VMs among which limits are divided, this one included.
+    void applyVms(const VmsByRegion &vms);
+
+    /// Takes changed limits of the platform. Addresses and names stay as they are.
+    void reconfigure(const GatewaySettings &settings);
+
+    /// Begins a planned stop. `onStopped` is called once no request is left or the stop timeout is near.
+    void leave(std::function<void()> onStopped);
+    /// Whether callers may be sent here.
+    bool isReady() const;
+
+    EventLoop &loop()
+    {
+        return m_loop;
+    }
+    /// Returns where it listens for callers.
+    Poco::Net::SocketAddress address() const
+    {
+        return m_listener->address();
+    }
+    const WireNames &names() const
+    {
+        return m_settings.names;
+    }
+    const RefPointer<const ServingRules> &rules() const
+    {
+        return m_rules;
+    }
+    QuotaBook &quotas()
+    {
+        return m_quotas;
+    }
+    CrashWatch &crashWatch()
+    {
+        return m_crashWatch;
+    }
+    /// Sets a function that tells the other VMs of a request that makes targets fail.
+    void setSuspectSpreader(std::function<void(const CrashSuspect &)> spreader)
+    {
+        m_suspectSpreader = std::move(spreader);
+    }
+    QuotaWaiters &quotaWaiters()
+    {
+        return m_quotaWaiters;
+    }
+    ServiceSplit &split()
+    {
+        return m_split;
+    }
+    RequestDispatcher &dispatcher()
+    {
+        return m_dispatcher;
+    }
+    /// Whether new requests are refused because the process ends soon.
+    bool refusesNew() const;
+    bool mayRetry(const ServiceId &service);
+    /// When a refused caller may come back for another VM or a moment that has passed.
+    Deadline soon() const;
+
+    void noteBegun(GatewayRequest &request);
+    void noteSent(const GatewayRequest &request, bool isRetry);
+    void noteAnswered(const GatewayRequest &request, RequestAttempt &attempt);
+    void noteFailed(const GatewayRequest &request, RequestAttempt &attempt, const AttemptFailure &failure);
+    void noteTimeout(const GatewayRequest &request, RequestAttempt &attempt);
+    void noteRefused(const GatewayRequest &request, const Refusal &refusal);
+    void noteEnded(GatewayRequest &request);
+
+private:
+    Gateway(EventLoop &loop, GatewaySettings settings, Metrics &metrics);
+
+    RefPointer<HttpRequestHandler> createHandler() override;
+    HttpServerLimits limits() const override;
+    bool isClosing() const override;
+    void divideRetryBudget();
+    void answerRemaining();
+    void housekeep();
+
+    EventLoop &m_loop;
+    GatewaySettings m_settings;
+    VmsByRegion m_vms; ///< Among which limits are divided.
+    Metrics &m_metrics;
+    RefPointer<const ServingRules> m_rules;
+    TargetBook m_targets;
+    ServiceSplit m_split;
+    ServiceRetryBudget m_retryBudget;
+    QuotaBook m_quotas;
+    QuotaWaiters m_quotaWaiters;
+    CrashWatch m_crashWatch;
+    std::function<void(const CrashSuspect &)> m_suspectSpreader { [](const CrashSuspect &) {} };
+    RequestDispatcher m_dispatcher;
+    HealthChecker m_healthChecker;
+    std::unique_ptr<HttpListener> m_listener;
+    /// Requests in progress. One whose caller has left may still be running at a target.
+    std::set<RefPointer<GatewayRequest>> m_active;
+    Timer m_housekeeping;
+    Timer m_stopTimer;
+    Timer m_exitTimer;
+    bool m_hasTargets { false };
+    bool m_isLeaving { false };
+    Deadline m_refuseFrom; ///< When a VM that leaves stops taking requests.
+    std::function<void()> m_onStopped;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -0,0 +1,481 @@
+#include <LibGateway/GatewayRequest.h>
+
+#include <LibCore/Duration.h>
+#include <LibGateway/Gateway.h>
+#include <LibGateway/GatewayEvents.h>
+#include <LibGateway/RefusalAnswer.h>
+
+#include <algorithm>
+
+namespace Sapphire {
+
+namespace {
+
+// Bodies up to this size are read whole before a target gets the request, so that a slow caller holds no slot and the
+// request can be sent again.
+constexpr std::size_t mostKeptBody = 65'536;
+// What may wait in memory for a caller or target that reads slowly.
+constexpr std::size_t mostPendingOutput = 262'144;
+// A connection that has been idle for longer may be closing; a request that can't be sent twice is not risked on it.
+constexpr Milliseconds freshIdleTime { 1'000 };
+// Targets that accept no connection for one request.
+constexpr int mostUnconnectedAttempts = 3;
+constexpr int firstServerError = 500;
+
+bool contains(const std::vector<RegionId> &regions, const RegionId &region)
+{
+    return std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+} // namespace
+
+GatewayRequest::GatewayRequest(Gateway &gateway)
+    : m_gateway(gateway), m_loop(gateway.loop()), m_giveUpTimer(gateway.loop(), [this] {
+        giveUp();
+    })
+{
+}
+
+GatewayRequest::~GatewayRequest() = default;
+
+void GatewayRequest::begin(HttpServerConnection &connection, const HttpHead &head)
+{
+    m_connection = &connection;
+    m_arrivedAt = m_loop.now();
+    m_gateway.noteBegun(*this);
+    Outcome<CallerRequest> caller = capture([&] {
+        return readCallerRequest(head, m_gateway.names(), m_arrivedAt);
+    });
+    if (!caller) {
+        refuse(RefusalReason::BadRequest, Verdict::NotRun, caller.error().message);
+        return;
+    }
+    m_caller = std::move(caller.value());
+    if (!admit()) {
+        return;
+    }
+    m_giveUpAt = Deadline::after(m_arrivedAt, m_route->timeout).earlier(m_caller.deadline);
+    m_giveUpTimer.start(m_giveUpAt);
+    if (m_customer == nullptr) {
+        m_state = State::ReadingBody;
+        return;
+    }
+    m_state = State::AwaitingQuota;
+    m_gateway.quotaWaiters().submit(*this);
+}
+
+void GatewayRequest::quotaGranted()
+{
+    const RefPointer<GatewayRequest> self(this);
+    m_state = State::ReadingBody;
+    if (isBodyReady()) {
+        submit();
+    }
+}
+
+void GatewayRequest::quotaDenied(Deadline nextTokenAt)
+{
+    // A VM without a share of the rate has no token of its own at any time, but may be lent one, as other VMs may.
+    const bool isOwnToken = nextTokenAt != Deadline::never();
+    const Deadline retryAt = isOwnToken ? nextTokenAt : m_gateway.dispatcher().retryTime(*this);
+    refuse(RefusalReason::RateExceeded, Verdict::NotRun, "rate of " + m_customer->id.text() + " exceeded",
+           std::max(retryAt, m_gateway.soon()));
+}
+
+bool GatewayRequest::isBodyReady() const
+{
+    return m_isBodyComplete || m_body.size() > mostKeptBody;
+}
+
+bool GatewayRequest::admit()
+{
+    m_rules = m_gateway.rules();
+    if (!m_rules) {
+        refuse(RefusalReason::NotFresh, Verdict::NotRun, "no configuration yet", m_gateway.soon());
+        return false;
+    }
+    if (m_gateway.refusesNew()) {
+        refuse(RefusalReason::Draining, Verdict::NotRun, "this VM is stopping", m_gateway.soon());
+        return false;
+    }
+    if (m_caller.bodyBytes.value_or(0) > m_rules->limits().bodyBytes) {
+        refuse(RefusalReason::TooLarge, Verdict::NotRun, "the body is larger than the limit");
+        return false;
+    }
+    return checkRoute() && checkCustomer();
+}
+
+bool GatewayRequest::checkRoute()
+{
+    m_route = m_rules->findRoute(m_caller.host, m_caller.path());
+    if (m_route == nullptr) {
+        refuse(RefusalReason::NoSuchService, Verdict::NotRun, "no route for host and path");
+        return false;
+    }
+    m_service = m_gateway.split().choose(*m_route);
+    return true;
+}
+
+bool GatewayRequest::checkCustomer()
+{
+    if (!m_rules->hasCustomers()) {
+        return true;
+    }
+    m_customer = m_caller.key.empty() ? nullptr : m_rules->findCustomer(m_caller.key);
+    if (m_route->isOpenToAll) {
+        return true;
+    }
+    if (m_customer == nullptr) {
+        refuse(RefusalReason::KeyRejected, Verdict::NotRun, "unknown key");
+        return false;
+    }
+    return true;
+}
+
+RequestTimes GatewayRequest::times() const
+{
+    RequestTimes times;
+    times.arrivedAt = m_arrivedAt;
+    times.wantedBy = Deadline::after(m_arrivedAt, m_route->targetLatency);
+    times.giveUpAt = m_giveUpAt;
+    times.callerDeadline = m_caller.deadline;
+    times.timeout = m_route->timeout;
+    return times;
+}
+
+int GatewayRequest::priority() const
+{
+    return m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
+}
+
+bool GatewayRequest::mayRunIn(const RegionId &region) const
+{
+    const bool isRouteHome = m_route->homeRegions.empty() || contains(m_route->homeRegions, region);
+    const bool isCustomerHome =
+        m_customer == nullptr || m_customer->homeRegions.empty() || contains(m_customer->homeRegions, region);
+    return isRouteHome && isCustomerHome;
+}
+
+void GatewayRequest::bodyReceived(std::string_view bytes, bool isComplete)
+{
+    const RefPointer<GatewayRequest> self(this);
+    if (m_state == State::New || m_state == State::Done) {
+        return;
+    }
+    m_bodyBytes += bytes.size();
+    if (m_bodyBytes > m_rules->limits().bodyBytes) {
+        if (m_attempt) {
+            m_attempt->abandon();
+        }
+        refuse(RefusalReason::TooLarge, m_attempts == 0 ? Verdict::NotRun : Verdict::MayHaveRun,
+               "the body is larger than the limit");
+        return;
+    }
+    m_isBodyComplete = isComplete;
+    if (m_isBodyKept) {
+        m_body.append(bytes);
+    }
+    if (m_attempt) {
+        m_isBodyKept = m_isBodyKept && m_body.size() <= mostKeptBody;
+        m_attempt->sendBody(bytes, isComplete);
+        if (m_connection != nullptr && !isComplete && m_attempt->pendingOutput() > mostPendingOutput) {
+            m_connection->setReading(false);
+        }
+        return;
+    }
+    if (m_body.size() > mostKeptBody && !isComplete && m_connection != nullptr) {
+        // What comes now waits with the caller until there is a target.
+        m_connection->setReading(false);
+    }
+    if (m_state == State::ReadingBody && isBodyReady()) {
+        submit();
+    }
+}
+
+void GatewayRequest::submit()
+{
+    if (m_fingerprint.isEmpty()) {
+        m_fingerprint = fingerprintOf(m_customer != nullptr ? m_customer->id : CustomerId(), m_caller, m_body);
+    }
+    if (m_gateway.crashWatch().isRefused(m_fingerprint, m_route->isIdempotent, m_loop.now())) {
+        refuse(RefusalReason::SuspectedCrash, m_verdict, "targets ended while they ran this request");
+        return;
+    }
+    m_state = State::Waiting;
+    m_gateway.dispatcher().submit(*this);
+}
+
+void GatewayRequest::sendTo(const RefPointer<GatewayTarget> &target, const AttemptForecast &forecast)
+{
+    const RefPointer<GatewayRequest> self(this);
+    m_state = State::Running;
+    ++m_attempts;
+    m_tried.insert(target->id());
+    m_gateway.noteSent(*this, m_attempts > 1);
+    m_attempt = makeRefCounted<RequestAttempt>(m_loop, m_gateway.names(), target, forecast, *this);
+    TargetRequestHead head { m_caller, target->id(), m_customer != nullptr ? m_customer->id : CustomerId(), m_giveUpAt,
+                             m_caller.bodyBytes };
+    if (m_isBodyComplete) {
+        head.bodyBytes = m_bodyBytes;
+    }
+    const TimePoint usedSince = m_route->isIdempotent ? TimePoint {} : m_loop.now() - freshIdleTime;
+    const RefPointer<RequestAttempt> attempt = m_attempt;
+    const Outcome<void> started = capture([&] {
+        return attempt->start(head, m_body, m_isBodyComplete, usedSince);
+    });
+    if (!started) {
+        attempt->abandon();
+        attemptFailed(*attempt,
+                      { AttemptFailure::Kind::NotConnected, Verdict::NotRun, false, started.error().message });
+        return;
+    }
+    if (m_connection != nullptr && !m_isBodyComplete) {
+        m_isBodyKept = m_body.size() <= mostKeptBody;
+        m_connection->setReading(true);
+    }
+}
+
+bool GatewayRequest::attemptAnswered(RequestAttempt &attempt)
+{
+    const bool isServerError = attempt.answer().status >= firstServerError;
+    if (isServerError && attempt.isAnswerWhole() && retryInsteadOf(attempt)) {
+        return false;
+    }
+    m_state = State::Answering;
+    if (m_connection == nullptr) {
+        return true;
+    }
+    HttpAnswerHead head;
+    head.status = attempt.answer().status;
+    head.headers = headersForCaller(attempt.answer());
+    head.bodyBytes = attempt.answer().bodyBytes;
+    if (attempt.isAnswerWhole() && !m_caller.isHead()) {
+        head.bodyBytes = attempt.body().size();
+    }
+    m_connection->startAnswer(head);
+    attemptBody(attempt, attempt.body());
+    return true;
+}
+
+void GatewayRequest::attemptBody(RequestAttempt &attempt, std::string_view bytes)
+{
+    if (m_connection == nullptr) {
+        return;
+    }
+    m_connection->writeBody(bytes);
+    if (m_connection->pendingOutput() > mostPendingOutput) {
+        attempt.setReading(false);
+    }
+}
+
+void GatewayRequest::attemptFinished(RequestAttempt &attempt)
+{
+    const RefPointer<GatewayRequest> self(this);
+    if (m_state != State::Answering || m_attempt.get() != &attempt) {
+        return;
+    }
+    m_gateway.noteAnswered(*this, attempt);
+    logAnswer(attempt);
+    HttpServerConnection *const connection = m_connection;
+    end();
+    if (connection != nullptr) {
+        connection->finishAnswer();
+    }
+}
+
+void GatewayRequest::attemptFailed(RequestAttempt &attempt, const AttemptFailure &failure)
+{
+    const RefPointer<GatewayRequest> self(this);
+    m_verdict = combine(m_verdict, failure.verdict);
+    m_unconnected += failure.kind == AttemptFailure::Kind::NotConnected ? 1 : 0;
+    m_gateway.noteFailed(*this, attempt, failure);
+    logFailure(attempt, failure);
+    m_attempt.reset();
+    if (m_state == State::Answering) {
+        logEvent(GatewayEvents::answerAborted, { { "request", m_caller.id }, { "target", attempt.target().id() } });
+        HttpServerConnection *const connection = m_connection;
+        end();
+        if (connection != nullptr) {
+            connection->abortAnswer();
+        }
+        return;
+    }
+    if (!m_isCallerGone && maySendAgain(failure)) {
+        submit();
+        return;
+    }
+    failFor(failure);
+}
+
+bool GatewayRequest::maySendAgain(const AttemptFailure &failure) const
+{
+    const bool isHarmless = failure.verdict == Verdict::NotRun || m_route->isIdempotent;
+    // The route limits the targets that get the request; one that accepts no connection gets nothing.
+    const bool hasAttempt =
+        m_attempts - m_unconnected < m_route->mostAttempts && m_unconnected < mostUnconnectedAttempts;
+    return isHarmless && m_isBodyKept && hasAttempt && !m_giveUpAt.hasPassed(m_loop.now())
+        && m_gateway.mayRetry(m_service);
+}
+
+bool GatewayRequest::retryInsteadOf(RequestAttempt &attempt)
+{
+    const RefPointer<GatewayRequest> self(this);
+    AttemptFailure failure;
+    failure.detail = "status " + std::to_string(attempt.answer().status);
+    if (!m_route->isIdempotent || m_isCallerGone || !maySendAgain(failure)) {
+        return false;
+    }
+    m_verdict = Verdict::MayHaveRun;
+    m_gateway.noteFailed(*this, attempt, failure);
+    logFailure(attempt, failure);
+    m_attempt.reset();
+    submit();
+    return true;
+}
+
+void GatewayRequest::failFor(const AttemptFailure &failure)
+{
+    if (m_verdict == Verdict::NotRun) {
+        refuse(RefusalReason::NoCapacity, m_verdict, failure.detail, m_gateway.dispatcher().retryTime(*this));
+    } else {
+        refuse(RefusalReason::TargetFailed, m_verdict, failure.detail);
+    }
+}
+
+void GatewayRequest::attemptDrained(RequestAttempt &)
+{
+    if (m_connection != nullptr && !m_isBodyComplete) {
+        m_connection->setReading(true);
+    }
+}
+
+void GatewayRequest::outputDrained()
+{
+    if (m_attempt) {
+        m_attempt->setReading(true);
+    }
+}
+
+void GatewayRequest::giveUp()
+{
+    const RefPointer<GatewayRequest> self(this);
+    if (m_state == State::Answering) {
+        // The answer is on its way; the caller decides how long to read it.
+        return;
+    }
+    if (m_state == State::AwaitingQuota || m_state == State::ReadingBody || m_state == State::Waiting) {
+        m_gateway.quotaWaiters().cancel(*this);
+        m_gateway.dispatcher().cancel(*this);
+        const bool isNotRun = m_verdict == Verdict::NotRun;
+        refuse(isNotRun ? RefusalReason::NoCapacity : RefusalReason::DeadlinePassed, m_verdict, "no target in time");
+        return;
+    }
+    if (m_attempt) {
+        m_verdict = combine(m_verdict, m_attempt->verdict());
+        AttemptFailure failure;
+        failure.verdict = m_attempt->verdict();
+        failure.detail = "no answer until the request was given up";
+        logFailure(*m_attempt, failure);
+        m_gateway.noteTimeout(*this, *m_attempt);
+        m_attempt->abandon();
+    }
+    refuse(RefusalReason::DeadlinePassed, m_verdict, "no answer in time");
+}
+
+void GatewayRequest::callerGone()
+{
+    const RefPointer<GatewayRequest> self(this);
+    m_connection = nullptr;
+    m_isCallerGone = true;
+    if (m_state == State::Done) {
+        return;
+    }
+    logEvent(GatewayEvents::requestAbandoned,
+             { { "request", m_caller.id }, { "afterMilliseconds", millisecondsBetween(m_arrivedAt, m_loop.now()) } });
+    m_gateway.quotaWaiters().cancel(*this);
+    m_gateway.dispatcher().cancel(*this);
+    // A request that must not be cut in the middle runs on; its answer is dropped.
+    const bool runsOn = m_state == State::Running && m_attempt && !m_route->isIdempotent && m_isBodyComplete;
+    if (runsOn) {
+        return;
+    }
+    if (m_attempt) {
+        m_attempt->abandon();
+    }
+    end();
+}
+
+void GatewayRequest::refuse(RefusalReason reason, Verdict verdict, const std::string &detail,
+                            std::optional<Deadline> retryAt)
+{
+    const RefPointer<GatewayRequest> self(this);
+    const Refusal refusal { reason, verdict, detail, retryAt, {} };
+    m_gateway.noteRefused(*this, refusal);
+    logEvent(GatewayEvents::requestRefused,
+             { { "request", m_caller.id },
+               { "reason", nameOf(reason) },
+               { "verdict", nameOf(verdict) },
+               { "status", statusOf(refusal) },
+               { "route", m_route != nullptr ? m_route->id : RouteId() },
+               { "customer", m_customer != nullptr ? m_customer->id : CustomerId() },
+               { "service", m_service },
+               { "attempts", m_attempts },
+               { "afterMilliseconds", millisecondsBetween(m_arrivedAt, m_loop.now()) },
+               { "retryAfterMilliseconds", retryAt ? millisecondsBetween(m_loop.now(), retryAt->at()) : 0 },
+               { "configuration", m_rules ? m_rules->version() : ConfigurationVersion() },
+               { "detail", detail } });
+    HttpServerConnection *const connection = m_connection;
+    end();
+    if (connection != nullptr) {
+        connection->answer(headOf(refusal, m_loop.now()), detail + "\n");
+    }
+}
+
+void GatewayRequest::logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const
+{
+    logEvent(GatewayEvents::attemptFailed,
+             { { "request", m_caller.id },
+               { "target", attempt.target().id() },
+               { "attempt", m_attempts },
+               { "verdict", nameOf(failure.verdict) },
+               { "stale", failure.isStaleConnection },
+               { "afterMilliseconds", millisecondsBetween(attempt.startedAt(), m_loop.now()) },
+               { "expectedMilliseconds", std::chrono::duration_cast<Milliseconds>(attempt.forecast().time).count() },
+               { "detail", failure.detail } });
+}
+
+void GatewayRequest::logAnswer(RequestAttempt &attempt) const
+{
+    const std::optional<LoadReport> load = attempt.load();
+    logEvent(GatewayEvents::requestAnswered,
+             { { "request", m_caller.id },
+               { "status", attempt.answer().status },
+               { "route", m_route->id },
+               { "customer", m_customer != nullptr ? m_customer->id : CustomerId() },
+               { "service", m_service },
+               { "object", m_caller.object },
+               { "target", attempt.target().id() },
+               { "zone", attempt.target().place().availabilityZone },
+               { "attempts", m_attempts },
+               { "waitedMilliseconds", millisecondsBetween(m_arrivedAt, attempt.startedAt()) },
+               { "targetMilliseconds", millisecondsBetween(attempt.startedAt(), attempt.answeredAt()) },
+               { "expectedMilliseconds", std::chrono::duration_cast<Milliseconds>(attempt.forecast().time).count() },
+               { "expectedWarm", nameOf(attempt.forecast().warmth) },
+               { "expectedFree", attempt.forecast().hasFreeSlot },
+               { "totalMilliseconds", millisecondsBetween(m_arrivedAt, m_loop.now()) },
+               { "running", load ? load->running : -1 },
+               { "waiting", load ? load->waiting : -1 },
+               { "slots", load ? load->slots : -1 },
+               { "configuration", m_rules->version() } });
+}
+
+void GatewayRequest::end()
+{
+    m_state = State::Done;
+    m_connection = nullptr;
+    m_giveUpTimer.stop();
+    m_attempt.reset();
+    m_gateway.noteEnded(*this);
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibGateway/WireNames.h>
+#include <LibSteering/ColdStartLimiter.h>
+#include <LibSteering/CustomerQuota.h>
+#include <LibSteering/ServiceRetryBudget.h>
+
+#include <map>
+#include <string>
+
+namespace Sapphire {
+
+/// What a gateway is told when it starts.
+struct GatewaySettings
+{
+    VmId vm;
+    Place place;
+    std::map<AvailabilityZoneId, RegionId> regionsByZone;
+    std::string callerAddress; ///< "ip:port" for requests.
+    WireNames names;
+    Milliseconds stopTimeout { 6'000 }; ///< From the signal to stop to the end of the process.
+    ServiceRetryBudgetSettings retryBudget; ///< Of all VMs together.
+    QuotaSettings quota;
+    ColdStartSettings coldStart;
+};
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibGateway/TargetSession.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <LibGateway/WireNames.h>
+#include <LibNet/HttpParser.h>
+#include <LibNet/StreamConnection.h>
+
+#include <optional>
+
+namespace Sapphire {
+
+/// How an exchange with a target failed.
+enum class SessionFailure {
+    NotConnected, ///< The connection was refused or not established; the target has seen nothing.
+    NotSent, ///< The connection broke before the kernel took the first byte of the request.
+    Broken, ///< The connection broke afterwards; the request may have run.
+    Malformed, ///< The target sent bytes that are no answer; the request may have run.
+};
+
+/// Is told what comes back from a target. No function is called after the last of finished() and failed(), nor after
+/// TargetSession::abandon().
+class TargetSessionListener
+{
+public:
+    virtual ~TargetSessionListener() = default;
+
+    virtual void answerStarted(const HttpHead &head) = 0;
+    virtual void answerBody(std::string_view bytes) = 0;
+    virtual void answerFinished() = 0;
+    virtual void exchangeFailed(SessionFailure failure, const std::string &detail) = 0;
+    /// The target has taken what was sent.
+    virtual void requestDrained() = 0;
+};
+
+/// A connection to a target that carries one request at a time.
+class TargetSession final : public RefCounted<TargetSession>, private StreamConnectionListener
+{
+public:
+    /// Begins to connect. `onConnected` is told how long it took; `onLostWhileIdle` is called if the target ends the
+    /// connection while no request uses it. Fails with Unavailable if that fails at once.
+    [[nodiscard]] static Result<RefPointer<TargetSession>>
+    create(EventLoop &loop, const Poco::Net::SocketAddress &address, const WireNames &names,
+           std::function<void(Microseconds)> onConnected, std::function<void()> onLostWhileIdle);
+
+    ~TargetSession() override;
+
+    /// Sends the beginning of a request. The target echoes the id; answers with another one belong to earlier requests
+    /// and are dropped. An empty id takes any answer.
+    void begin(TargetSessionListener &listener, std::string_view bytes, std::string requestId, bool isHead);
+    void sendMore(std::string_view bytes);
+    std::size_t pendingOutput() const
+    {
+        return m_stream->pendingOutput();
+    }
+    void setReading(bool isReading)
+    {
+        m_stream->setReading(isReading);
+    }
+    /// Closes the connection, which makes the target drop the request.
+    void abandon();
+
+    /// Whether the next request may use the connection. Set once an exchange has finished.
+    bool isReusable() const
+    {
+        return m_isReusable && m_stream->isOpen();
+    }
+    bool isConnected() const
+    {
+        return m_isConnected;
+    }
+    /// Whether the target may have seen any of the current request.
+    bool maySeeRequest() const
+    {
+        return isReused() || m_stream->hasSent();
+    }
+    /// Whether an earlier request used the connection.
+    bool isReused() const
+    {
+        return m_exchanges > 1;
+    }
+    TimePoint idleSince() const
+    {
+        return m_idleSince;
+    }
+    /// When the target will close the connection if it stays idle, as far as it says so.
+    Deadline idleEnd() const
+    {
+        return m_idleEnd;
+    }
+
+private:
+    TargetSession(EventLoop &loop, const WireNames &names, std::function<void(Microseconds)> onConnected,
+                  std::function<void()> onLostWhileIdle);
+
+    void connectionEstablished() override;
+    void bytesReceived(std::string_view bytes) override;
+    void peerClosed(bool isBroken) override;
+    void outputDrained() override;
+
+    void feed(std::string_view bytes);
+    void passHead();
+    bool isForeignAnswer() const;
+    void messageComplete();
+    void finish(bool isReusable);
+    void connectTimeout();
+    void failExchange(SessionFailure failure, const std::string &detail);
+
+    EventLoop &m_loop;
+    const WireNames &m_names;
+    std::function<void(Microseconds)> m_onConnected;
+    std::function<void()> m_onLostWhileIdle;
+    TimePoint m_createdAt;
+    RefPointer<StreamConnection> m_stream;
+    HttpParser m_parser;
+    Timer m_connectTimer;
+    TargetSessionListener *m_listener { nullptr };
+    std::string m_requestId;
+    bool m_isHead { false };
+    bool m_isConnected { false };
+    bool m_isReusable { false };
+    bool m_isHeadPassed { false };
+    bool m_isDropping { false }; ///< The answer being read belongs to an earlier request.
+    bool m_hasDropped { false };
+    int m_exchanges { 0 };
+    TimePoint m_idleSince {};
+    Deadline m_idleEnd { Deadline::never() };
+};
+
+} // namespace Sapphire
