LibEntry: Run the gateway from shared readings of the platform

Change: one VM of the region nearest to the platform reads and tells the others; VMs that lack targets ask other VMs first; readers take over in order. Lists are compared by digests of 256 buckets.

--- /dev/null
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -0,0 +1,282 @@
+#include <LibEntry/EntryDaemon.h>
+
+#include <LibEntry/EntryEvents.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Sapphire {
+
+namespace {
+
+// The list of VMs is read again this soon after the start, when those that started together have entered, and when a VM
+// speaks that is not in it; otherwise rarely, since each call has its price.
+constexpr Milliseconds firstVmInterval { 1'500 };
+constexpr Milliseconds vmInterval { 45'000 };
+constexpr Milliseconds vmRetryInterval { 1'000 };
+// A VM that has been silent for so long does not come back by itself.
+constexpr Milliseconds goneTime { 20'000 };
+constexpr Milliseconds goneInterval { 5'000 };
+constexpr Milliseconds callTime { 1'500 };
+constexpr Milliseconds lookUpTimeToLive { 2'000 };
+constexpr int statusUnavailable = 503;
+
+VmRecord ownRecord(const EntrySettings &settings, const Clock &clock)
+{
+    VmRecord own;
+    own.vm = settings.gateway.vm;
+    own.place = settings.gateway.place;
+    own.callerAddress = settings.gateway.callerAddress;
+    own.peerAddress = settings.peerAddress;
+    own.processorShare = settings.processorShare;
+    own.startedAtMilliseconds = std::chrono::duration_cast<Milliseconds>(clock.wallTime()).count();
+    return own;
+}
+
+} // namespace
+
+EntryDaemon::EntryDaemon(EntrySettings settings, PlatformAdapter adapter, std::unique_ptr<BootClock> clock,
+                         std::unique_ptr<EventLoop> loop)
+    : m_settings(std::move(settings))
+    , m_adapter(std::move(adapter))
+    , m_clock(std::move(clock))
+    , m_loop(std::move(loop))
+    , m_own(ownRecord(m_settings, *m_clock))
+    , m_roster(m_own.vm, m_own.place, {})
+    , m_goneTimer(*m_loop, [this] {
+        findGoneVms();
+    })
+{
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+Result<std::unique_ptr<EntryDaemon>> EntryDaemon::create(EntrySettings settings, PlatformAdapter adapter)
+{
+    auto clock = std::make_unique<BootClock>();
+    BOOST_LEAF_AUTO(loop, EventLoop::create(*clock));
+    std::unique_ptr<EntryDaemon> daemon(
+        new EntryDaemon(std::move(settings), std::move(adapter), std::move(clock), std::move(loop)));
+    BOOST_LEAF_CHECK(daemon->startServers());
+    daemon->startWatches();
+    return daemon;
+}
+
+Result<void> EntryDaemon::startServers()
+{
+    BOOST_LEAF_ASSIGN(m_gateway, Gateway::create(*m_loop, m_settings.gateway, m_metrics));
+    BOOST_LEAF_ASSIGN(m_peers, PeerNetwork::create(*m_loop, m_own, m_roster, m_gateway->quotas()));
+    m_gateway->quotaWaiters().setSource(*this);
+    m_gateway->dispatcher().setDemandSource(*this);
+    m_peers->onSuspect([this](const CrashSuspect &suspect) {
+        m_gateway->crashWatch().merge(suspect, m_loop->now());
+    });
+    m_gateway->setSuspectSpreader([this](const CrashSuspect &suspect) {
+        m_peers->spreadSuspect(suspect);
+    });
+    m_peers->setDemandProvider([this] {
+        return m_gateway->dispatcher().demand();
+    });
+    m_peers->onStranger([this] {
+        if (m_vmWatch) {
+            m_vmWatch->runSoon();
+        }
+    });
+    m_peers->onTokens([this] {
+        m_gateway->quotaWaiters().serve();
+    });
+    BOOST_LEAF_ASSIGN(m_readinessServer, serve(m_settings.readinessAddress, m_adapter.readinessPath, [this] {
+                          return readiness();
+                      }));
+    BOOST_LEAF_ASSIGN(m_lookUpServer, serve(m_settings.lookUpAddress, m_adapter.lookUpPath, [this] {
+                          return lookUp();
+                      }));
+    BOOST_LEAF_ASSIGN(m_metricsServer, serve(m_settings.metricsAddress, "/metrics", [this] {
+                          return metrics();
+                      }));
+    return {};
+}
+
+Result<std::unique_ptr<SimpleHttpServer>> EntryDaemon::serve(const std::string &address, const std::string &path,
+                                                             std::function<SimpleAnswer()> answer)
+{
+    if (address.empty()) {
+        return nullptr;
+    }
+    return SimpleHttpServer::create(*m_loop, Poco::Net::SocketAddress(address),
+                                    { { path, [answer = std::move(answer)](const HttpHead &) {
+                                           return answer();
+                                       } } });
+}
+
+void EntryDaemon::startWatches()
+{
+    const SharedSourceParts parts { *m_loop, *m_peers, m_roster, m_own.vm };
+    m_operatorDuty =
+        std::make_unique<OperatorStateDuty>(parts, *m_adapter.operatorState, [this](const OperatorState &state) {
+            if (state.rules) {
+                m_gateway->applyRules(state.rules);
+            }
+            m_gateway->applyEvacuations(state.evacuatedZones);
+        });
+    m_targetDuty = std::make_unique<TargetListDuty>(parts, TargetListDutySettings { m_settings.isFirstStart },
+                                                    *m_adapter.targetList, [this](const TargetListChange &change) {
+                                                        m_gateway->applyTargets(change);
+                                                    });
+    m_peers->onTargetQuestion([this](const VmId &asker, const ShortDigests &digests) {
+        m_targetDuty->answer(asker, digests);
+    });
+    m_peers->onTargetStatement([this](const TargetStatement &statement) {
+        m_targetDuty->takeStatement(statement);
+    });
+    m_peers->onReading([this](const Reading &reading) {
+        m_operatorDuty->takeReading(reading);
+        m_targetDuty->takeReading(reading);
+    });
+    m_operatorDuty->start({ EntryEvents::rulesSourceLost, EntryEvents::rulesSourceBack });
+    m_targetDuty->start({ EntryEvents::targetListLost, EntryEvents::targetListBack });
+    SourceWatchSettings vms { EntryEvents::vmRegistryLost, EntryEvents::vmRegistryBack };
+    vms.interval = vmInterval;
+    vms.retryInterval = vmRetryInterval;
+    vms.shortestInterval = firstVmInterval;
+    m_goneTimer.start(Deadline::after(m_loop->now(), goneInterval));
+    m_vmWatch = std::make_unique<SourceWatch>(vms, *m_clock, [this] {
+        return followVms();
+    });
+}
+
+void EntryDaemon::run()
+{
+    m_loop->run();
+}
+
+void EntryDaemon::stop()
+{
+    post([this] {
+        m_peers->leave();
+        m_gateway->leave([this] {
+            m_loop->stop();
+        });
+    });
+}
+
+void EntryDaemon::reload(const EntrySettings &settings)
+{
+    post([this, settings] {
+        m_gateway->reconfigure(settings.gateway);
+        m_settings.longestLookUpTimeToLive = settings.longestLookUpTimeToLive;
+        const bool needsRestart = settings.platformAddress != m_settings.platformAddress
+            || settings.gateway.callerAddress != m_settings.gateway.callerAddress
+            || settings.gateway.place != m_settings.gateway.place;
+        logEvent(EntryEvents::settingsReloaded, { { "needsRestart", needsRestart } });
+    });
+}
+
+void EntryDaemon::post(EventLoop::Task task)
+{
+    if (!m_loop->post(std::move(task))) {
+        logEvent(EntryEvents::loopOverloaded, {});
+    }
+}
+
+Result<void> EntryDaemon::followVms()
+{
+    const TimePoint begunAt = m_clock->now();
+    BOOST_LEAF_AUTO(vms, m_adapter.vmRegistry->next(Milliseconds(0), Deadline::after(begunAt, callTime)));
+    const Microseconds roundTrip = m_clock->now() - begunAt;
+    const Deadline writeDeadline = Deadline::after(m_clock->now(), callTime);
+    const auto own = std::find_if(vms.begin(), vms.end(), [this](const VmRecord &record) {
+        return record.vm == m_own.vm;
+    });
+    // A process that starts anew at the same addresses is found by the record of the one before it.
+    const bool isEntered = own != vms.end() && own->callerAddress == m_own.callerAddress
+        && own->peerAddress == m_own.peerAddress && own->place == m_own.place
+        && own->processorShare == m_own.processorShare;
+    if (!isEntered) {
+        VmRecord record = m_own;
+        record.platformRoundTrip = roundTrip;
+        BOOST_LEAF_CHECK(m_adapter.vmRegistry->enter(record, writeDeadline));
+        // On the loop's thread, since the watch may still be under construction.
+        post([this] {
+            m_vmWatch->runSoon();
+        });
+    }
+    for (const VmId &vm : takeGoneVms()) {
+        BOOST_LEAF_CHECK(m_adapter.vmRegistry->leave(vm, writeDeadline));
+    }
+    post([this, vms = std::move(vms)] {
+        applyVms(vms);
+    });
+    return {};
+}
+
+std::vector<VmId> EntryDaemon::takeGoneVms()
+{
+    const std::lock_guard guard(m_goneMutex);
+    return std::exchange(m_goneVms, {});
+}
+
+void EntryDaemon::findGoneVms()
+{
+    const TimePoint now = m_loop->now();
+    const std::vector<VmRecord> serving = m_roster.serving(now);
+    // One VM of the region does it for all. A VM that was removed by mistake enters again.
+    if (!serving.empty() && serving.front().vm == m_own.vm) {
+        const std::lock_guard guard(m_goneMutex);
+        m_goneVms = m_roster.silentFor(goneTime, now);
+    }
+    m_goneTimer.start(Deadline::after(now, goneInterval));
+}
+
+void EntryDaemon::applyVms(const std::vector<VmRecord> &records)
+{
+    m_peers->applyRecords(records);
+    std::vector<HomeCandidate> vms { { m_own.vm, m_own.place.region } };
+    for (const VmRecord &record : records) {
+        if (record.vm != m_own.vm) {
+            vms.push_back({ record.vm, record.place.region });
+        }
+    }
+    m_gateway->applyVms(VmsByRegion(vms));
+    m_operatorDuty->check();
+    m_targetDuty->check();
+}
+
+void EntryDaemon::seekTokens(const CustomerId &customer)
+{
+    m_peers->loans().seekFor(customer, m_loop->now());
+}
+
+bool EntryDaemon::hasProspect(const CustomerId &customer)
+{
+    return m_peers->loans().hasProspect(customer, m_loop->now());
+}
+
+std::map<RegionId, double> EntryDaemon::demandFor(const ServiceId &service)
+{
+    return m_peers->demands().demandFor(service, m_loop->now());
+}
+
+SimpleAnswer EntryDaemon::readiness() const
+{
+    return { m_gateway->isReady() ? 200 : statusUnavailable, {}, {} };
+}
+
+SimpleAnswer EntryDaemon::lookUp() const
+{
+    std::vector<std::string> addresses;
+    for (const VmRecord &vm : m_roster.serving(m_loop->now())) {
+        addresses.push_back(vm.callerAddress);
+    }
+    if (addresses.empty()) {
+        addresses.push_back(m_own.callerAddress);
+    }
+    return m_adapter.writeLookUp(addresses, lookUpTimeToLive);
+}
+
+SimpleAnswer EntryDaemon::metrics() const
+{
+    return { 200, "text/plain; version=0.0.4", m_metrics.prometheusText() };
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibCore/BootClock.h>
+#include <LibEntry/EntrySettings.h>
+#include <LibEntry/OperatorStateDuty.h>
+#include <LibEntry/TargetListDuty.h>
+#include <LibGateway/Gateway.h>
+#include <LibNet/SimpleHttpServer.h>
+#include <LibPeer/PeerNetwork.h>
+
+#include <memory>
+#include <mutex>
+
+namespace Sapphire {
+
+/// What the adapter of a platform offers to a VM.
+struct PlatformAdapter
+{
+    std::unique_ptr<OperatorStateSource> operatorState;
+    std::unique_ptr<TargetListSource> targetList;
+    std::unique_ptr<VmRegistry> vmRegistry;
+    std::string readinessPath;
+    std::string lookUpPath;
+    /// Writes the answer to a look-up.
+    std::function<SimpleAnswer(const std::vector<std::string> &addresses, Milliseconds timeToLive)> writeLookUp;
+};
+
+/// A VM on a platform that keeps the operators' rules and lists the targets. Wires the libraries together.
+class EntryDaemon final : private TokenSource, private RegionDemandSource
+{
+public:
+    /// Starts serving. Fails with Unavailable if an address is in use or not of this machine.
+    [[nodiscard]] static Result<std::unique_ptr<EntryDaemon>> create(EntrySettings settings, PlatformAdapter adapter);
+    ~EntryDaemon() override;
+
+    /// Serves until a planned stop has ended.
+    void run();
+    /// Begins a planned stop. Any thread may call it.
+    void stop();
+    /// Takes changed settings. Limits follow them; addresses and the place of the VM need a new process. Any thread may
+    /// call it.
+    void reload(const EntrySettings &settings);
+
+private:
+    EntryDaemon(EntrySettings settings, PlatformAdapter adapter, std::unique_ptr<BootClock> clock,
+                std::unique_ptr<EventLoop> loop);
+
+    [[nodiscard]] Result<void> startServers();
+    /// Answers one path at an address; null if the address is empty.
+    Result<std::unique_ptr<SimpleHttpServer>> serve(const std::string &address, const std::string &path,
+                                                    std::function<SimpleAnswer()> answer);
+    void startWatches();
+    Result<void> followVms();
+    std::vector<VmId> takeGoneVms();
+    void findGoneVms();
+    void applyVms(const std::vector<VmRecord> &records);
+    void post(EventLoop::Task task);
+    void seekTokens(const CustomerId &customer) override;
+    bool hasProspect(const CustomerId &customer) override;
+    std::map<RegionId, double> demandFor(const ServiceId &service) override;
+    SimpleAnswer readiness() const;
+    SimpleAnswer lookUp() const;
+    SimpleAnswer metrics() const;
+
+    EntrySettings m_settings;
+    PlatformAdapter m_adapter;
+    std::unique_ptr<BootClock> m_clock;
+    Metrics m_metrics;
+    std::unique_ptr<EventLoop> m_loop;
+    std::unique_ptr<Gateway> m_gateway;
+    std::unique_ptr<SimpleHttpServer> m_readinessServer;
+    std::unique_ptr<SimpleHttpServer> m_lookUpServer;
+    std::unique_ptr<SimpleHttpServer> m_metricsServer;
+    VmRecord m_own;
+    VmRoster m_roster;
+    std::unique_ptr<PeerNetwork> m_peers;
+    Timer m_goneTimer;
+    std::mutex m_goneMutex;
+    std::vector<VmId> m_goneVms; ///< Whose records are to be removed.
+    std::unique_ptr<OperatorStateDuty> m_operatorDuty;
+    std::unique_ptr<TargetListDuty> m_targetDuty;
+    std::unique_ptr<SourceWatch> m_vmWatch;
+};
+
+} // namespace Sapphire
