Tests: Show the whole path on the stand-in of the platform, without the kit

Guards against faults that only whole processes show: starts, stops, lost stores, settings that change, targets that come and go.

--- /dev/null
+++ b/Tests/Entry/EntryDeployment.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <Harness/ChildProcess.h>
+#include <Harness/Expect.h>
+#include <Harness/HttpCall.h>
+#include <Harness/LoopbackSubnet.h>
+#include <StandIns/Store/StoreStandIn.h>
+#include <StandIns/WireTarget/WireTargets.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sapphire {
+
+/// A VM of the deployment: the real program as a process.
+struct EntryVm
+{
+    std::string name;
+    std::string region;
+    std::string zone;
+    std::string ip;
+    std::unique_ptr<ChildProcess> process;
+};
+
+/// What the rules of the deployment say.
+struct EntryRules
+{
+    int version { 1 };
+    Milliseconds timeout { 1'000 };
+    double rate { 500 };
+    std::vector<std::string> keys { "key-1" };
+    std::string readService { "s" };
+    std::string homeRegion; ///< Empty for none.
+};
+
+/// Entry VMs in two regions of one availability zone each, a stand-in of the platform's store and stand-in targets.
+class EntryDeployment
+{
+public:
+    /// Starts VMs in each region and targets of service "s" in each region, and waits until all VMs are ready.
+    EntryDeployment(int vmsPerRegion, int targetsPerRegion);
+
+    StoreStandIn &store()
+    {
+        return m_store;
+    }
+    WireTargets &targets()
+    {
+        return m_targets;
+    }
+    std::vector<EntryVm> &vms()
+    {
+        return m_vms;
+    }
+    const std::vector<WireTarget *> &targetList() const
+    {
+        return m_targetList;
+    }
+
+    void applyRules(const EntryRules &rules);
+    /// Writes a target's entry, as the target itself does.
+    void announce(const WireTarget &target, const std::string &state);
+    void withdraw(const WireTarget &target);
+    /// Starts a VM's process anew, with the settings that its file holds.
+    void start(EntryVm &vm);
+    std::string settingsText(const EntryVm &vm, Milliseconds stopTimeout) const;
+    std::filesystem::path settingsPath(const EntryVm &vm) const;
+    bool isReady(const EntryVm &vm) const;
+    void waitUntilReady();
+    /// Returns the addresses that a look-up at the VM names.
+    std::vector<std::string> lookUp(const EntryVm &vm) const;
+    std::string callerAddress(const EntryVm &vm) const;
+    std::string zoneOf(const WireTarget &target) const;
+
+private:
+    std::unique_ptr<ScratchFolder> m_folder;
+    LoopbackSubnet m_subnet;
+    StoreStandIn m_store;
+    WireTargets m_targets;
+    std::vector<WireTarget *> m_targetList;
+    std::map<const WireTarget *, std::string> m_zones;
+    std::vector<EntryVm> m_vms;
+    int m_sequence { 0 };
+};
+
+} // namespace Sapphire
--- a/Tests/Harness/HttpCall.cpp
+++ b/Tests/Harness/HttpCall.cpp
@@ -54,8 +54,10 @@
 
 std::string requestText(const HttpCall &call, const Target &target)
 {
-    std::string text =
-        call.method + " " + target.path + " HTTP/1.1\r\nHost: " + target.host + "\r\nConnection: close\r\n";
+    std::string text = call.method + " " + target.path + " HTTP/1.1\r\nConnection: close\r\n";
+    if (!hasHeader(call.headers, "Host")) {
+        text += "Host: " + target.host + "\r\n";
+    }
     const bool isBodyExpected = call.method != "GET" && call.method != "HEAD";
     if ((isBodyExpected || !call.body.empty()) && !hasHeader(call.headers, "Content-Length")) {
         text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
