LibSteering: Try a target with one request at a time after a passed health check

Change: FailureTracker tells a passed check from an answered request. After a check alone a target is on trial: it gets a request only when it has none, one failure takes it out again, and its back-off goes on.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -211,7 +211,7 @@
 void Gateway::noteAnswered(const GatewayRequest &request, RequestAttempt &attempt)
 {
     GatewayTarget &target = attempt.target();
-    target.noteSuccess();
+    target.noteAnswered();
     m_dispatcher.noteAnswer(request, attempt);
     m_crashWatch.noteAnswered(request.fingerprint(), m_loop.now());
     m_metrics.counter("sapphire_requests_total", "outcome=\"answered\"").add();
--- a/Libraries/LibGateway/GatewayTarget.cpp
+++ b/Libraries/LibGateway/GatewayTarget.cpp
@@ -56,12 +56,13 @@
     }
 }
 
-void GatewayTarget::noteChecked(TimePoint coldUntil)
+void GatewayTarget::noteCheckPassed(TimePoint coldUntil)
 {
     const bool wasSuspect = m_isSuspect;
     if (m_failures.isOut()) {
         m_quality.reset();
     }
+    m_failures.noteCheckPassed();
     m_isSuspect = false;
     m_coldUntil = coldUntil;
     if (wasSuspect && isCold(m_loop.now())) {
--- a/Libraries/LibGateway/GatewayTarget.h
+++ b/Libraries/LibGateway/GatewayTarget.h
@@ -78,8 +78,8 @@
     {
         m_nextCheckAt = at;
     }
-    /// A health check has told how long the target stays cold.
-    void noteChecked(TimePoint coldUntil);
+    /// A health check was passed, and told how long the target stays cold.
+    void noteCheckPassed(TimePoint coldUntil);
 
     TargetLoad &load()
     {
@@ -90,10 +90,16 @@
     {
         return m_failures;
     }
-    /// A request or a health check has succeeded.
-    void noteSuccess()
+    /// Whether it may get a request now, by what became of earlier ones.
+    bool mayTakeRequest() const
     {
-        m_failures.noteSuccess();
+        const bool isTried = m_failures.isOnTrial() && m_load.inFlight() > 0;
+        return !m_failures.isOut() && !isTried;
+    }
+    /// A request was answered.
+    void noteAnswered()
+    {
+        m_failures.noteAnswered();
     }
     /// A request has failed. Returns whether that takes the target out.
     bool noteFailure(TimePoint now);
--- a/Libraries/LibGateway/HealthChecker.cpp
+++ b/Libraries/LibGateway/HealthChecker.cpp
@@ -173,8 +173,7 @@
     if (target.isSuspect() && coldMilliseconds > 0) {
         m_onEnded(target.id());
     }
-    target.noteChecked(now + Milliseconds(coldMilliseconds));
-    target.noteSuccess();
+    target.noteCheckPassed(now + Milliseconds(coldMilliseconds));
     if (wasOut) {
         logEvent(GatewayEvents::targetBack, { { "target", target.id() }, { "coldMilliseconds", coldMilliseconds } });
     }
--- a/Libraries/LibGateway/RequestDispatcher.cpp
+++ b/Libraries/LibGateway/RequestDispatcher.cpp
@@ -128,7 +128,7 @@
 bool RequestDispatcher::isEligible(GatewayTarget &target, const GatewayRequest &request) const
 {
     const TimePoint now = m_loop.now();
-    return m_targets.takesWork(target) && !target.failures().isOut() && !request.hasTried(target.id())
+    return m_targets.takesWork(target) && target.mayTakeRequest() && !request.hasTried(target.id())
         && (!target.isCold(now) || target.coldLimiter().maySend(now));
 }
 
--- a/Libraries/LibSteering/FailureTracker.cpp
+++ b/Libraries/LibSteering/FailureTracker.cpp
@@ -12,11 +12,19 @@
 
 } // namespace
 
-void FailureTracker::noteSuccess()
+void FailureTracker::noteAnswered()
 {
     m_failuresInRow = 0;
     m_timesOut = 0;
     m_isOut = false;
+    m_isOnTrial = false;
+}
+
+void FailureTracker::noteCheckPassed()
+{
+    m_failuresInRow = 0;
+    m_isOnTrial = m_isOnTrial || m_isOut;
+    m_isOut = false;
 }
 
 bool FailureTracker::noteFailure(TimePoint now)
@@ -26,7 +34,7 @@
         takeOut(now);
         return false;
     }
-    if (m_failuresInRow >= failuresToTakeOut) {
+    if (m_isOnTrial || m_failuresInRow >= failuresToTakeOut) {
         takeOut(now);
         return true;
     }
--- a/Tests/LibGateway/TestGatewayTimes.cpp
+++ b/Tests/LibGateway/TestGatewayTimes.cpp
@@ -355,3 +355,39 @@
     CHECK(crashes >= 1);
     CHECK(crashes <= 2);
 }
+
+TEST_CASE("A target that passes its health check and ignores requests gets one at a time")
+{
+    // Guards against a silent target that costs several callers their requests after each health check.
+    std::atomic<int> ignored { 0 };
+    ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
+        const std::string head = ScriptedTarget::readHead(socket);
+        if (head.starts_with("GET /health ")) {
+            ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        } else if (!head.empty()) {
+            ++ignored;
+            char byte = 0;
+            socket.receiveBytes(&byte, 1);
+        }
+    });
+    GatewayFixture fixture;
+    fixture.applyRules(Milliseconds(200));
+    fixture.applyTargets({ fixture.knownTarget("t1", target.address()) });
+    constexpr int failuresToTakeOut = 3;
+    for (int i = 0; i < failuresToTakeOut; ++i) {
+        fixture.call("POST", "/book/a");
+    }
+    CHECK(ignored == failuresToTakeOut);
+    // Time for the first health check after the target was taken out.
+    std::this_thread::sleep_for(Milliseconds(600));
+    std::vector<std::future<CallerAnswer>> answers;
+    for (int i = 0; i < 4; ++i) {
+        answers.push_back(std::async(std::launch::async, [&fixture] {
+            return fixture.call("POST", "/book/a");
+        }));
+    }
+    for (std::future<CallerAnswer> &answer : answers) {
+        answer.wait();
+    }
+    CHECK(ignored == failuresToTakeOut + 1);
+}
--- a/Tests/LibSteering/TestFailureTracker.cpp
+++ b/Tests/LibSteering/TestFailureTracker.cpp
@@ -16,7 +16,7 @@
     FailureTracker tracker;
     CHECK(!tracker.noteFailure(start));
     CHECK(!tracker.noteFailure(start));
-    tracker.noteSuccess();
+    tracker.noteAnswered();
     CHECK(!tracker.noteFailure(start));
     CHECK(!tracker.noteFailure(start));
     CHECK(tracker.noteFailure(start));
@@ -24,6 +24,35 @@
     const Deadline first = tracker.nextCheckAt();
     tracker.noteUnreachable(start);
     CHECK(first < tracker.nextCheckAt());
-    tracker.noteSuccess();
+    tracker.noteAnswered();
     CHECK(!tracker.isOut());
 }
+
+TEST_CASE("FailureTracker lets a target that passes its health check and answers nothing take one request at a time")
+{
+    // Guards against a silent target that gets several requests after each health check, and is checked again as soon
+    // as one that has just failed.
+    FailureTracker tracker;
+    for (int i = 0; i < 3; ++i) {
+        tracker.noteFailure(start);
+    }
+    const Microseconds first = tracker.nextCheckAt().remaining(start);
+    tracker.noteCheckPassed();
+    CHECK(!tracker.isOut());
+    CHECK(tracker.isOnTrial());
+    CHECK(tracker.noteFailure(start));
+    CHECK(tracker.isOut());
+    CHECK(tracker.nextCheckAt().remaining(start) > first);
+    tracker.noteCheckPassed();
+    tracker.noteAnswered();
+    CHECK(!tracker.isOnTrial());
+    CHECK(!tracker.noteFailure(start));
+}
+
+TEST_CASE("FailureTracker puts no target on trial for a health check that another reason called for")
+{
+    // Guards against a busy target that is held to one request because a connection to it ended.
+    FailureTracker tracker;
+    tracker.noteCheckPassed();
+    CHECK(!tracker.isOnTrial());
+}
