LibSteering: Bound the heartbeats of a VM in a large region

Cause: each VM told all VMs of its region each second that it lives. At 146 VMs a region each gets about 15 kB/s of that alone, against 10 kB/s for all control. A watcher that misses heartbeats tells the region, and two of them are believed. Demand of a VM counts until a deadline that follows the time between its heartbeats.

--- a/Libraries/LibPeer/DemandBook.cpp
+++ b/Libraries/LibPeer/DemandBook.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-// A VM that has been silent for longer serves no callers any more.
-constexpr Milliseconds vmStatementTime { 3'500 };
 // Demand of a whole region changes slowly, and its statements cross long ways.
 constexpr Milliseconds regionStatementTime { 15'000 };
 
@@ -17,21 +15,21 @@
 
 } // namespace
 
-void DemandBook::takeVm(const VmId &vm, ServiceDemands demands, TimePoint now)
+void DemandBook::takeVm(const VmId &vm, ServiceDemands demands, Deadline validUntil)
 {
-    m_vms[vm] = { std::move(demands), now };
+    m_vms[vm] = { std::move(demands), validUntil };
 }
 
 void DemandBook::takeRegion(const RegionId &region, ServiceDemands demands, TimePoint now)
 {
-    m_regions[region] = { std::move(demands), now };
+    m_regions[region] = { std::move(demands), Deadline::after(now, regionStatementTime) };
 }
 
 ServiceDemands DemandBook::ownRegion(TimePoint now) const
 {
     ServiceDemands sum = m_own;
     for (const auto &[vm, statement] : m_vms) {
-        if (now - statement.at > vmStatementTime) {
+        if (statement.validUntil.hasPassed(now)) {
             continue;
         }
         for (const auto &[service, demand] : statement.demands) {
@@ -46,13 +44,13 @@
     std::map<RegionId, double> demand;
     demand[m_ownRegion] = demandOf(m_own, service);
     for (const auto &[vm, statement] : m_vms) {
-        if (now - statement.at <= vmStatementTime) {
+        if (!statement.validUntil.hasPassed(now)) {
             demand[m_ownRegion] += demandOf(statement.demands, service);
         }
     }
     for (const auto &[region, statement] : m_regions) {
         const auto found = statement.demands.find(service);
-        if (now - statement.at <= regionStatementTime && found != statement.demands.end()) {
+        if (!statement.validUntil.hasPassed(now) && found != statement.demands.end()) {
             demand[region] = found->second;
         }
     }
--- a/Libraries/LibPeer/DemandBook.h
+++ b/Libraries/LibPeer/DemandBook.h
@@ -23,7 +23,8 @@
     {
         m_own = std::move(demands);
     }
-    void takeVm(const VmId &vm, ServiceDemands demands, TimePoint now);
+    /// Takes what a VM of the own region says, which counts until the given time.
+    void takeVm(const VmId &vm, ServiceDemands demands, Deadline validUntil);
     void takeRegion(const RegionId &region, ServiceDemands demands, TimePoint now);
 
     /// Returns the sum over the VMs of the own region.
@@ -35,7 +36,7 @@
     struct Statement
     {
         ServiceDemands demands;
-        TimePoint at {};
+        Deadline validUntil;
     };
 
     RegionId m_ownRegion;
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -15,6 +15,12 @@
 
 constexpr Milliseconds heartbeatInterval { 1'000 };
 constexpr Milliseconds loanInterval { 50 };
+// Beyond the time between its heartbeats, a VM's demand counts for so long after one.
+constexpr Milliseconds shortestDemandTime { 2'500 };
+// After a pause of its own that was longer than this a VM doesn't know who was silent.
+constexpr Milliseconds longestPause { 1'500 };
+constexpr Milliseconds timeToHearAll { 3'000 };
+constexpr std::size_t mostReportsPerDatagram { 40 };
 constexpr double centislots = 100;
 
 using WireDemands = google::protobuf::RepeatedPtrField<peer::ServiceDemand>;
@@ -98,7 +104,7 @@
     VmPresence presence = m_roster.ownPresence();
     presence.isLeaving = true;
     m_roster.setOwnPresence(presence);
-    announce();
+    tellPresence();
 }
 
 void PeerNetwork::announce()
@@ -107,11 +113,19 @@
     m_demands.setOwn(m_demandProvider());
     stateDemands();
     sendSuspects(m_suspectNews.takeRepeats());
-    announcePresence();
+    sendHeartbeat();
     m_heartbeat.start(Deadline::after(m_loop.now(), heartbeatInterval));
 }
 
-void PeerNetwork::announcePresence()
+void PeerNetwork::sendHeartbeat()
+{
+    const peer::Datagram datagram = presence();
+    for (const VmId &vm : m_roster.nextHeartbeatReceivers()) {
+        send(*m_roster.find(vm), datagram);
+    }
+}
+
+void PeerNetwork::tellPresence()
 {
     sendTo(m_own.place.region, presence());
 }
@@ -162,7 +176,7 @@
     }
     own.cannotRead = !m_unreadable.empty();
     m_roster.setOwnPresence(own);
-    announcePresence();
+    tellPresence();
 }
 
 void PeerNetwork::tellReading(const Reading &reading)
@@ -318,6 +332,9 @@
         m_onSuspect({ Fingerprint(entry.fingerprint()), m_loop.now() - Milliseconds(entry.age()),
                       static_cast<int>(entry.crashes()) });
     }
+    for (const std::string &vm : datagram.silent()) {
+        m_roster.noteReportedSilent(VmId(vm), peer.vm, m_loop.now());
+    }
     takeTargets(peer, datagram);
     takeLoans(peer, datagram);
 }
@@ -327,7 +344,8 @@
     const bool isNewProcess = datagram.started() > sender.startedAtMilliseconds;
     const bool isFirst = m_known.insert(sender.vm).second;
     const bool isLeaving = datagram.presence().is_leaving();
-    m_demands.takeVm(sender.vm, readDemands(datagram.presence().demands()), m_loop.now());
+    const Milliseconds demandTime = shortestDemandTime + m_roster.heartbeatTime(sender.vm);
+    m_demands.takeVm(sender.vm, readDemands(datagram.presence().demands()), Deadline::after(m_loop.now(), demandTime));
     m_roster.noteHeard(sender.vm, datagram.started(), { isLeaving, datagram.presence().cannot_read() }, m_loop.now());
     if (isNewProcess || isFirst) {
         // It knows nothing of this VM yet.
@@ -360,14 +378,35 @@
 
 void PeerNetwork::watchSilence()
 {
+    const TimePoint now = m_loop.now();
+    if (now - m_watchedAt > longestPause) {
+        m_hearsAllAt = Deadline::after(now, timeToHearAll);
+    }
+    m_watchedAt = now;
+    std::vector<VmId> news;
     for (auto vm = m_serving.begin(); vm != m_serving.end();) {
         if (m_roster.isServing(*vm, m_loop.now())) {
             ++vm;
             continue;
         }
         logEvent(PeerEvents::peerSilent, { { "vm", *vm } });
+        if (m_roster.mustReportSilence(*vm) && m_hearsAllAt.hasPassed(now)) {
+            news.push_back(*vm);
+        }
         vm = m_serving.erase(vm);
     }
+    reportSilent(news);
+}
+
+void PeerNetwork::reportSilent(const std::vector<VmId> &vms)
+{
+    for (std::size_t first = 0; first < vms.size(); first += mostReportsPerDatagram) {
+        peer::Datagram datagram;
+        for (std::size_t i = first; i < std::min(vms.size(), first + mostReportsPerDatagram); ++i) {
+            datagram.add_silent(vms[i].text());
+        }
+        sendTo(m_own.place.region, datagram);
+    }
 }
 
 } // namespace Sapphire
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -84,13 +84,17 @@
     void receive(const Poco::Net::SocketAddress &sender, std::string_view bytes);
     void takePresence(const VmRecord &sender, const peer::Datagram &datagram);
     void takeLoans(const VmRecord &sender, const peer::Datagram &datagram);
+    /// What a VM does about once a second.
     void announce();
-    void announcePresence();
+    void sendHeartbeat();
+    /// Tells all VMs of the region at once what has changed in this one's presence.
+    void tellPresence();
     void takeReading(const VmRecord &sender, const peer::Reading &message);
     void takeTargets(const VmRecord &sender, const peer::Datagram &datagram);
     void sendTo(const RegionId &region, const peer::Datagram &datagram);
     void stateDemands();
     void watchSilence();
+    void reportSilent(const std::vector<VmId> &vms);
     void sendSuspects(const std::vector<CrashSuspect> &suspects);
     peer::Datagram presence() const;
     void send(const VmRecord &peer, const peer::Datagram &datagram);
@@ -120,6 +124,8 @@
     DocumentParts m_documentParts; ///< Of rules; one VM tells them at a time.
     std::set<VmId> m_known; ///< To which this VM has announced itself.
     std::set<VmId> m_serving; ///< As logged last.
+    TimePoint m_watchedAt {};
+    Deadline m_hearsAllAt; ///< When a living VM has been heard again after a pause of this one.
     std::uint64_t m_rejected { 0 };
 };
 
--- a/Libraries/LibSteering/VmRoster.cpp
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -10,7 +10,10 @@
 namespace Sapphire {
 
 VmRoster::VmRoster(VmId own, Place ownPlace, VmRosterSettings settings)
-    : m_own(std::move(own)), m_ownPlace(std::move(ownPlace)), m_settings(settings)
+    : m_own(std::move(own))
+    , m_ownPlace(std::move(ownPlace))
+    , m_settings(settings)
+    , m_heartbeats(m_own, settings.heartbeats)
 {
 }
 
@@ -34,6 +37,36 @@
         return !listed.contains(entry.first);
     });
     findNearestRegion();
+    planHeartbeats();
+}
+
+void VmRoster::planHeartbeats()
+{
+    std::vector<HeartbeatPlan::Member> members;
+    for (const auto &[vm, entry] : m_entries) {
+        if (entry.record.place.region == m_ownPlace.region) {
+            members.push_back({ vm, entry.hash });
+        }
+    }
+    m_heartbeats.setMembers(std::move(members));
+}
+
+Milliseconds VmRoster::longestSilenceOf(const VmId &vm) const
+{
+    return m_settings.longestSilence + heartbeatTime(vm) - m_settings.heartbeatInterval;
+}
+
+void VmRoster::noteReportedSilent(const VmId &vm, const VmId &reporter, TimePoint now)
+{
+    const auto found = m_entries.find(vm);
+    if (found == m_entries.end()) {
+        return;
+    }
+    // Whoever reports has waited for longer than the silence that is usual between two heartbeats.
+    const bool isHeardSince = now - found->second.heardAt < m_settings.longestSilence - m_settings.heartbeatInterval;
+    if (!isHeardSince) {
+        found->second.silenceReporters.insert(reporter);
+    }
 }
 
 void VmRoster::noteHeard(const VmId &vm, std::int64_t startedAtMilliseconds, VmPresence presence, TimePoint now)
@@ -44,6 +77,7 @@
     }
     found->second.record.startedAtMilliseconds = startedAtMilliseconds;
     found->second.heardAt = now;
+    found->second.silenceReporters.clear();
     found->second.presence = presence;
 }
 
@@ -78,8 +112,13 @@
         return !m_ownPresence.isLeaving;
     }
     const auto found = m_entries.find(vm);
-    return found != m_entries.end() && !found->second.presence.isLeaving
-        && now - found->second.heardAt <= m_settings.longestSilence;
+    if (found == m_entries.end() || found->second.presence.isLeaving) {
+        return false;
+    }
+    // One reporter may have been frozen, or cut off, itself.
+    constexpr std::size_t reportersToBelieve = 2;
+    const bool isReported = found->second.silenceReporters.size() >= reportersToBelieve;
+    return !isReported && now - found->second.heardAt <= longestSilenceOf(vm);
 }
 
 std::vector<VmRecord> VmRoster::serving(TimePoint now) const
@@ -200,7 +239,8 @@
     std::vector<VmId> silent;
     for (const auto &[vm, entry] : m_entries) {
         const bool isOwnRegion = entry.record.place.region == m_ownPlace.region;
-        if (vm != m_own && isOwnRegion && now - std::max(entry.heardAt, entry.listedAt) > time) {
+        const Milliseconds longest = time + heartbeatTime(vm) - m_settings.heartbeatInterval;
+        if (vm != m_own && isOwnRegion && now - std::max(entry.heardAt, entry.listedAt) > longest) {
             silent.push_back(vm);
         }
     }
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibCore/Deadline.h>
+#include <LibSteering/HeartbeatPlan.h>
 #include <LibSteering/VmRecord.h>
 
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -17,6 +19,9 @@
     /// After the first list, VMs that were not heard yet count as able to read for this long: all VMs may have started
     /// at the same moment.
     Milliseconds startTime { 1'200 };
+    /// A VM tells each other one that hears all its heartbeats so often that it lives.
+    Milliseconds heartbeatInterval { 1'000 };
+    HeartbeatSettings heartbeats;
 };
 
 /// What a VM says of itself with each heartbeat.
@@ -38,6 +43,25 @@
     /// A VM has said that it lives. Words of an earlier process of it are ignored.
     void noteHeard(const VmId &vm, std::int64_t startedAtMilliseconds, VmPresence presence, TimePoint now);
 
+    /// Another VM has heard no heartbeat of a VM that it watches. Two that say so are believed, unless this VM has
+    /// heard it since.
+    void noteReportedSilent(const VmId &vm, const VmId &reporter, TimePoint now);
+    /// Returns the VMs that get the next heartbeat.
+    std::vector<VmId> nextHeartbeatReceivers()
+    {
+        return m_heartbeats.nextReceivers();
+    }
+    /// Whether this VM has to tell the others if the VM falls silent.
+    bool mustReportSilence(const VmId &vm) const
+    {
+        return m_heartbeats.needsReports() && m_heartbeats.isWatching(vm);
+    }
+    /// Returns how long a living VM may be silent here if all its heartbeats arrive.
+    Milliseconds heartbeatTime(const VmId &vm) const
+    {
+        return m_settings.heartbeatInterval * static_cast<std::int64_t>(m_heartbeats.heartbeatsBetween(vm));
+    }
+
     /// VMs that are entered, this one included: the number among which limits are divided.
     std::size_t count() const;
     /// All entered VMs of the region but this one.
@@ -49,7 +73,8 @@
     /// The serving VMs of the own region, this one included unless it leaves.
     std::vector<VmRecord> serving(TimePoint now) const;
     const VmRecord *find(const VmId &vm) const;
-    /// VMs of the own region that have been silent for longer than the given time and should be taken from the list.
+    /// VMs of the own region that have been silent for longer than the given time, beyond the time between two
+    /// heartbeats, and should be taken from the list.
     std::vector<VmId> silentFor(Milliseconds time, TimePoint now) const;
     /// Returns the VMs of the own region in the order in which they read a list of the platform for the others: those
     /// that can come first. All VMs that know the same agree on it.
@@ -91,6 +116,7 @@
         TimePoint heardAt {};
         VmPresence presence {};
         std::uint64_t hash { 0 }; ///< Of the VM's id.
+        std::set<VmId> silenceReporters {}; ///< Since it was heard.
     };
 
     /// Whether the VM may do something for the others of the region.
@@ -98,6 +124,9 @@
     /// Returns the place of a VM in the order of readers as far as it doesn't change while the VM lives.
     static double readerScore(std::string_view list, const Entry &entry);
     void findNearestRegion();
+    void planHeartbeats();
+    /// Returns how long the VM may be silent before it is taken for dead.
+    Milliseconds longestSilenceOf(const VmId &vm) const;
 
     VmId m_own;
     Place m_ownPlace;
@@ -105,6 +134,7 @@
     std::map<VmId, Entry> m_entries;
     bool m_hasList { false };
     RegionId m_nearestRegion;
+    HeartbeatPlan m_heartbeats;
     TimePoint m_listedAt {}; ///< When the first list came.
     VmPresence m_ownPresence;
 };
--- a/Tests/LibSteering/TestVmRoster.cpp
+++ b/Tests/LibSteering/TestVmRoster.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <string>
+
 using namespace Sapphire;
 
 namespace {
@@ -158,3 +161,36 @@
     CHECK(near.relaysOf("targets", RegionId("pampa")).size() == 2);
     CHECK(near.relaysOf("targets", RegionId("nowhere")).empty());
 }
+
+TEST_CASE("VmRoster in a large region takes a VM for dead that two others report, until it is heard again")
+{
+    // Guards against a dead VM that is named for as long as its next heartbeat would take, and against one VM with a
+    // broken link that takes another one out.
+    constexpr int count = 146;
+    std::vector<VmRecord> records;
+    records.reserve(count);
+    for (int i = 0; i < count; ++i) {
+        records.push_back(record(("vm-" + std::to_string(i)).c_str(), "cuyo"));
+    }
+    VmRoster roster(VmId("vm-0"), records[0].place, {});
+    roster.applyRecords(records, start);
+    const auto unwatched = std::find_if(records.begin() + 1, records.end(), [&](const VmRecord &peer) {
+        return !roster.mustReportSilence(peer.vm);
+    });
+    REQUIRE(unwatched != records.end());
+    const VmId &vm = unwatched->vm;
+    roster.noteHeard(vm, 1, {}, start);
+    const TimePoint later = start + Milliseconds(3'500);
+    CHECK(roster.isServing(vm, later));
+    roster.noteReportedSilent(vm, VmId("vm-1"), later);
+    roster.noteReportedSilent(vm, VmId("vm-1"), later);
+    CHECK(roster.isServing(vm, later));
+    roster.noteReportedSilent(vm, VmId("vm-2"), later);
+    CHECK(!roster.isServing(vm, later));
+    roster.noteHeard(vm, 1, {}, later);
+    CHECK(roster.isServing(vm, later));
+    roster.noteReportedSilent(vm, VmId("vm-1"), later);
+    roster.noteReportedSilent(vm, VmId("vm-2"), later);
+    CHECK(roster.isServing(vm, later));
+    CHECK(!roster.isServing(vm, later + Milliseconds(10'000)));
+}
