LibEntry: Take the parts of a reading that follow a lost one

Cause: a change told in parts was dropped from the first part on that a VM missed or that found another list. Change: entries of a newer reading are merged into whatever list a VM has, and only what still differs is asked for.

--- a/Libraries/LibEntry/TargetListDuty.cpp
+++ b/Libraries/LibEntry/TargetListDuty.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Duration.h>
 #include <LibEntry/EntryEvents.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Sapphire {
@@ -10,14 +11,18 @@
 namespace {
 
 constexpr Milliseconds callTime { 1'500 };
-// A long list takes several calls, one after the other.
+// A long list takes several calls, one after the other, and the VMs that were told to ask take turns at the one that
+// helps them.
 constexpr std::size_t targetsPerCall = 500;
 constexpr Milliseconds timePerCall { 500 };
+constexpr Milliseconds helpTimePerCall { 250 };
 constexpr Milliseconds firstCallTime { 4'000 };
 // A datagram of many packets is lost with each of them.
 constexpr std::size_t mostEntriesPerDatagram = 24;
 // A change that was lost is asked for at another VM before the whole list is read.
 constexpr Milliseconds helpTime { 300 };
+// Parts of a reading are told within this time, by whose age they are dated.
+constexpr Milliseconds partTime { 100 };
 // In a region of so many VMs a starting one takes the list from another VM. It reads the list itself if that takes
 // longer than this, at a random time within the spread.
 constexpr std::size_t largeRegion = 16;
@@ -56,8 +61,8 @@
 void TargetListDuty::takeList(const std::vector<KnownTarget> &targets, TimePoint begunAt)
 {
     m_grace.noteSuccess(loop().now());
-    m_readingTime = callTime + timePerCall * static_cast<std::int64_t>(targets.size() / targetsPerCall);
     std::vector<TargetListChange> parts = m_list.applyWhole(targets, m_grace, loop().now(), mostEntriesPerDatagram);
+    adjustTimes();
     std::vector<Reading> readings;
     for (TargetListChange &part : parts) {
         m_onChange(part);
@@ -77,10 +82,30 @@
         m_onChange(reading.change);
     } else {
         m_lastTeller = reading.toldBy;
+        mergeReading(reading);
     }
     finishTold(reading);
 }
 
+void TargetListDuty::mergeReading(const Reading &reading)
+{
+    const bool isOlder = reading.readAt <= state().confirmedAt() || reading.readAt + partTime < m_takenReadAt;
+    if (!state().hasList() || isOlder || reading.change.entryCount() == 0) {
+        return;
+    }
+    m_takenReadAt = std::max(m_takenReadAt, reading.readAt);
+    m_list.merge(reading.change);
+    state().setDigest(m_list.digest());
+    m_onChange(reading.change);
+}
+
+void TargetListDuty::adjustTimes()
+{
+    const auto calls = static_cast<std::int64_t>(m_list.size() / targetsPerCall);
+    m_readingTime = callTime + timePerCall * calls;
+    state().setHelpTime(helpTime + helpTimePerCall * calls);
+}
+
 void TargetListDuty::readFailed()
 {
     m_grace.noteFailure(loop().now());
@@ -176,6 +201,7 @@
         m_onChange({ 0, m_list.digest(), m_list.targets(), {} });
     }
     state().noteAdopted(statement.digest, statement.readAt);
+    adjustTimes();
     logEvent(EntryEvents::listTakenOver,
              { { "list", subjectName() },
                { "digest", statement.digest },
--- a/Libraries/LibEntry/TargetListDuty.h
+++ b/Libraries/LibEntry/TargetListDuty.h
@@ -38,6 +38,10 @@
         return true;
     }
     void seekHelp(std::size_t rank) override;
+    /// Takes the entries of a reading that is of another list than the one before it.
+    void mergeReading(const Reading &reading);
+    /// A longer list takes longer to read, and so is worth a longer wait for help.
+    void adjustTimes();
     void takeList(const std::vector<KnownTarget> &targets, TimePoint begunAt);
     /// Returns the VM that most likely knows what this one lacks.
     VmId usualHelper(std::size_t rank);
@@ -51,6 +55,7 @@
     HelpSeeking m_help;
     bool m_hasPlannedStart { false };
     VmId m_lastTeller; ///< Of a reading that this VM could not follow.
+    TimePoint m_takenReadAt {}; ///< When the newest reading was made of which entries were taken.
     TargetList m_list;
     AbsenceGrace m_grace;
 };
--- a/Libraries/LibSteering/SharedReading.cpp
+++ b/Libraries/LibSteering/SharedReading.cpp
@@ -22,7 +22,9 @@
     const Milliseconds longest =
         std::min(m_settings.longestUnconfirmed, m_settings.takeoverAfter + m_settings.takeoverStep * steps);
     const Milliseconds interval = m_hasFailed ? m_settings.unconfirmedRetryInterval : longest;
-    return m_hasList && now - m_confirmedAt >= longest && now - m_begunAt >= interval;
+    // The reader has spoken, and what this VM lacks is on its way.
+    const bool isHelped = m_lacksSomething && !m_helpUntil.hasPassed(now);
+    return m_hasList && !isHelped && now - m_confirmedAt >= longest && now - m_begunAt >= interval;
 }
 
 bool SharedReading::isLackingDue(TimePoint now) const
--- a/Libraries/LibSteering/SharedReading.h
+++ b/Libraries/LibSteering/SharedReading.h
@@ -49,6 +49,11 @@
     void noteFailed();
     /// A reading that began at the given time has ended, and the list had this digest.
     void noteRead(std::uint64_t digest, TimePoint begunAt);
+    /// Sets for how long other VMs may help before a VM that lacks something reads for itself.
+    void setHelpTime(Milliseconds time)
+    {
+        m_settings.helpTime = time;
+    }
     /// A reader says that the list had a digest at the given time, now.
     void noteStatement(std::uint64_t digest, TimePoint readAt, TimePoint now);
     /// A VM that comes before this one in the order of readers has read.
--- a/Libraries/LibSteering/TargetList.cpp
+++ b/Libraries/LibSteering/TargetList.cpp
@@ -191,13 +191,18 @@
     if (change.base != m_digest) {
         return false;
     }
+    merge(change);
+    return m_digest == change.digest;
+}
+
+void TargetList::merge(const TargetListChange &change)
+{
     for (const KnownTarget &target : change.changed) {
         set(target);
     }
     for (const TargetId &id : change.removed) {
         remove(id);
     }
-    return m_digest == change.digest;
 }
 
 TargetListChange TargetList::replaceBucket(std::size_t index, const std::vector<KnownTarget> &targets)
@@ -226,6 +231,15 @@
     return change;
 }
 
+std::size_t TargetList::size() const
+{
+    std::size_t size = 0;
+    for (const Bucket &bucket : m_buckets) {
+        size += bucket.entries.size();
+    }
+    return size;
+}
+
 std::vector<KnownTarget> TargetList::targets() const
 {
     std::vector<KnownTarget> targets;
--- a/Libraries/LibSteering/TargetList.h
+++ b/Libraries/LibSteering/TargetList.h
@@ -39,9 +39,12 @@
                                              TimePoint now, std::size_t mostEntries);
     /// Takes a change of the list that this VM knows. Returns false if it is one of another list.
     bool applyChange(const TargetListChange &change);
+    /// Takes the entries of a change whatever list it is of. The lists may differ afterwards.
+    void merge(const TargetListChange &change);
     /// Takes the content of a bucket and returns what is new in it.
     TargetListChange replaceBucket(std::size_t index, const std::vector<KnownTarget> &targets);
 
+    std::size_t size() const;
     std::vector<KnownTarget> targets() const;
     std::vector<KnownTarget> bucket(std::size_t index) const;
     /// Of all that the targets say of themselves but what changes with time alone.
--- a/Tests/LibEntry/TestTargetListDuty.cpp
+++ b/Tests/LibEntry/TestTargetListDuty.cpp
@@ -227,3 +227,56 @@
     CHECK(take(neighbour) == 0);
     CHECK(fixture.peers.relayed().size() == relayedBefore);
 }
+
+TEST_CASE("TargetListDuty takes the other parts of a reading of which one was lost, and asks for that one alone")
+{
+    // Guards against a start of a large fleet in which each lost datagram makes a VM ask for the whole list.
+    constexpr std::size_t count = 100;
+    std::vector<KnownTarget> targets;
+    targets.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        targets.push_back(target(("t" + std::to_string(i)).c_str()));
+    }
+    Fixture reader({ target("a") });
+    Fixture follower({ target("a") });
+    reader.source.set(targets);
+    REQUIRE(reader.runUntil([&] {
+        return reader.peers.readings().back().change.entryCount() > 0;
+    }));
+    std::vector<Reading> parts;
+    for (const Reading &reading : reader.peers.readings()) {
+        if (reading.change.entryCount() > 0) {
+            parts.push_back(reading);
+        }
+    }
+    REQUIRE(parts.size() > 2);
+    follower.changes.clear();
+    std::size_t taken = 0;
+    for (std::size_t i = 1; i < parts.size(); ++i) {
+        parts[i].toldBy = VmId("reader");
+        follower.duty.takeReading(parts[i]);
+        taken += parts[i].change.entryCount();
+    }
+    std::size_t changed = 0;
+    for (const TargetListChange &change : follower.changes) {
+        changed += change.entryCount();
+    }
+    CHECK(changed == taken);
+    REQUIRE(follower.runUntil([&] {
+        return !follower.peers.questions().empty();
+    }));
+    reader.duty.answer(VmId("follower"), follower.peers.questions().front().digests);
+    CHECK(reader.peers.statements().front().buckets.size() <= parts.front().change.entryCount());
+}
+
+TEST_CASE("TargetListDuty takes nothing from a part of a reading that is older than what it has")
+{
+    // Guards against a target that is gone and comes back with a datagram that was late.
+    Fixture fixture({ target("a") });
+    const std::uint64_t digest = fixture.peers.readings().back().digest;
+    const TimePoint before = fixture.clock.now() - Milliseconds(5'000);
+    fixture.changes.clear();
+    fixture.duty.takeReading(
+        { ReadingSubject::Targets, digest + 2, before, { digest + 1, digest + 2, { target("gone") }, {} }, {} });
+    CHECK(fixture.changes.empty());
+}
--- a/Tests/LibSteering/TestSharedReading.cpp
+++ b/Tests/LibSteering/TestSharedReading.cpp
@@ -179,3 +179,15 @@
     CHECK(!state.isHelpful(start + Milliseconds(500)));
     CHECK(state.isHelpful(wanted));
 }
+
+TEST_CASE("SharedReading leaves what a VM lacks of a long list to other VMs for as long as their help may take")
+{
+    // Guards against a large region in which all VMs read a list of thousands of targets, because the reader's news
+    // can't be followed for longer than a silent reader is waited for.
+    SharedReading state = stateAfterReading();
+    state.setHelpTime(Milliseconds(3'000));
+    state.noteStatement(digest + 1, start + Milliseconds(900), start + Milliseconds(900));
+    CHECK(state.lacksSomething());
+    CHECK(!state.isDue(start + Milliseconds(2'600), later));
+    CHECK(state.isDue(start + Milliseconds(3'900), later));
+}
