LibFleet: Divide WireCodec by what the messages are about

Change: LogEntryCodec and RequestCodec hold their part; the bound on remaining times stands in decodeRemaining() once instead of in two places.

--- a/Libraries/LibFleet/ExchangeBuilder.cpp
+++ b/Libraries/LibFleet/ExchangeBuilder.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/ExchangeBuilder.h>
 
 #include <LibCore/Hash.h>
+#include <LibFleet/LogEntryCodec.h>
 #include <LibFleet/WireCodec.h>
 
 #include <algorithm>
--- a/Libraries/LibFleet/FleetClient.cpp
+++ b/Libraries/LibFleet/FleetClient.cpp
@@ -4,6 +4,7 @@
 #include <LibFleet/FleetChannel.h>
 #include <LibFleet/FleetEvents.h>
 #include <LibFleet/ForwardHandler.h>
+#include <LibFleet/RequestCodec.h>
 #include <LibFleet/WireCodec.h>
 
 namespace Sapphire {
--- a/Libraries/LibFleet/FleetServer.cpp
+++ b/Libraries/LibFleet/FleetServer.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/EventLog.h>
 #include <LibFleet/FleetChannel.h>
 #include <LibFleet/FleetEvents.h>
+#include <LibFleet/RequestCodec.h>
 #include <LibFleet/WireCodec.h>
 
 #include <algorithm>
--- a/Libraries/LibFleet/ForwardHandler.cpp
+++ b/Libraries/LibFleet/ForwardHandler.cpp
@@ -1,7 +1,7 @@
 #include <LibFleet/ForwardHandler.h>
 
 #include <LibFleet/FleetChannel.h>
-#include <LibFleet/WireCodec.h>
+#include <LibFleet/RequestCodec.h>
 
 #include <array>
 
--- a/Libraries/LibFleet/WireCodec.h
+++ b/Libraries/LibFleet/WireCodec.h
@@ -1,11 +1,7 @@
 #pragma once
 
-#include <LibConfiguration/Command.h>
 #include <LibConfiguration/Statement.h>
-#include <LibExchange/Messages.h>
-#include <LibExchange/Refusal.h>
 #include <LibFleet/Membership.h>
-#include <LibFleet/RequestStateSource.h>
 #include <LibSteering/TargetReport.h>
 
 #include <Fleet.pb.h>
@@ -20,6 +16,7 @@
 std::uint32_t encodeAge(TimePoint at, TimePoint now);
 TimePoint decodeAge(std::uint32_t age, TimePoint measuredFrom);
 std::uint32_t encodeRemaining(Deadline deadline, TimePoint now);
+Deadline decodeRemaining(std::uint32_t remaining, TimePoint now);
 
 void encode(const VmIncarnation &process, wire::Process &message);
 VmIncarnation decode(const wire::Process &message);
@@ -44,17 +41,7 @@
 void encode(const CrashSuspect &suspect, TimePoint now, wire::CrashSuspect &message);
 [[nodiscard]] Result<CrashSuspect> decode(const wire::CrashSuspect &message, TimePoint measuredFrom);
 
-void encode(const LogEntry &entry, wire::LogEntry &message);
-[[nodiscard]] Result<LogEntry> decode(const wire::LogEntry &message);
-
-void encode(const RequestHead &head, TimePoint now, wire::RequestHead &message);
-[[nodiscard]] Result<RequestHead> decode(const wire::RequestHead &message, TimePoint now);
-void encode(const AnswerHead &head, wire::AnswerHead &message);
-[[nodiscard]] Result<AnswerHead> decode(const wire::AnswerHead &message);
-void encode(const Refusal &refusal, TimePoint now, wire::Refusal &message);
-[[nodiscard]] Result<Refusal> decode(const wire::Refusal &message, TimePoint now);
-
-void encode(const RemoteRequestState &state, wire::RequestStateResponse &message);
-[[nodiscard]] Result<RemoteRequestState> decode(const wire::RequestStateResponse &message);
+/// Fails with InvalidArgument if a message of another VM lacks what is named.
+[[nodiscard]] Result<void> require(bool isPresent, const char *what);
 
 } // namespace Sapphire
--- a/Tests/LibFleet/TestFleetServer.cpp
+++ b/Tests/LibFleet/TestFleetServer.cpp
@@ -1,7 +1,7 @@
 #include "FleetNode.h"
 
 #include <LibFleet/FleetChannel.h>
-#include <LibFleet/WireCodec.h>
+#include <LibFleet/RequestCodec.h>
 
 #include <doctest/doctest.h>
 
--- a/Tests/LibFleet/TestWireCodec.cpp
+++ b/Tests/LibFleet/TestWireCodec.cpp
@@ -1,3 +1,5 @@
+#include <LibFleet/LogEntryCodec.h>
+#include <LibFleet/RequestCodec.h>
 #include <LibFleet/WireCodec.h>
 
 #include <doctest/doctest.h>
