--- a/Tests/LibGateway/TestGatewayTimes.cpp
+++ b/Tests/LibGateway/TestGatewayTimes.cpp
@@ -380,8 +380,10 @@
     CHECK(ignored == failuresToTakeOut);
     // Time for the first health check after the target was taken out.
     std::this_thread::sleep_for(Milliseconds(600));
+    constexpr std::size_t callers = 4;
     std::vector<std::future<CallerAnswer>> answers;
-    for (int i = 0; i < 4; ++i) {
+    answers.reserve(callers);
+    while (answers.size() < callers) {
         answers.push_back(std::async(std::launch::async, [&fixture] {
             return fixture.call("POST", "/book/a");
         }));
