LibGateway: Keep the log lines of a request in a file of their own

Change: GatewayRequestLog.cpp holds the lines of refused, failed and answered requests; no field changes.

--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -107,6 +107,7 @@
     bool maySendAgain(const AttemptFailure &failure) const;
     bool retryInsteadOf(RequestAttempt &attempt);
     void failFor(const AttemptFailure &failure);
+    void logRefusal(const Refusal &refusal) const;
     void logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const;
     void logAnswer(RequestAttempt &attempt) const;
     void end();
--- /dev/null
+++ b/Libraries/LibGateway/GatewayRequestLog.cpp
@@ -0,0 +1,67 @@
+#include <LibGateway/GatewayRequest.h>
+
+#include <LibCore/Duration.h>
+#include <LibGateway/GatewayEvents.h>
+#include <LibGateway/RefusalAnswer.h>
+
+// The log lines of a request, with the inputs of what was decided about it.
+
+namespace Sapphire {
+
+void GatewayRequest::logRefusal(const Refusal &refusal) const
+{
+    logEvent(
+        GatewayEvents::requestRefused,
+        { { "request", m_caller.id },
+          { "reason", nameOf(refusal.reason) },
+          { "verdict", nameOf(refusal.verdict) },
+          { "status", statusOf(refusal) },
+          { "route", m_route != nullptr ? m_route->id : RouteId() },
+          { "customer", m_customer != nullptr ? m_customer->id : CustomerId() },
+          { "service", m_service },
+          { "attempts", m_attempts },
+          { "afterMilliseconds", millisecondsBetween(m_arrivedAt, m_loop.now()) },
+          { "retryAfterMilliseconds", refusal.retryAt ? millisecondsBetween(m_loop.now(), refusal.retryAt->at()) : 0 },
+          { "configuration", m_rules ? m_rules->version() : ConfigurationVersion() },
+          { "detail", refusal.detail } });
+}
+
+void GatewayRequest::logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const
+{
+    logEvent(GatewayEvents::attemptFailed,
+             { { "request", m_caller.id },
+               { "target", attempt.target().id() },
+               { "attempt", m_attempts },
+               { "verdict", nameOf(failure.verdict) },
+               { "stale", failure.isStaleConnection },
+               { "afterMilliseconds", millisecondsBetween(attempt.startedAt(), m_loop.now()) },
+               { "expectedMilliseconds", std::chrono::duration_cast<Milliseconds>(attempt.forecast().time).count() },
+               { "detail", failure.detail } });
+}
+
+void GatewayRequest::logAnswer(RequestAttempt &attempt) const
+{
+    const std::optional<LoadReport> load = attempt.load();
+    logEvent(GatewayEvents::requestAnswered,
+             { { "request", m_caller.id },
+               { "status", attempt.answer().status },
+               { "route", m_route->id },
+               { "customer", m_customer != nullptr ? m_customer->id : CustomerId() },
+               { "service", m_service },
+               { "object", m_caller.object },
+               { "target", attempt.target().id() },
+               { "zone", attempt.target().place().availabilityZone },
+               { "attempts", m_attempts },
+               { "waitedMilliseconds", millisecondsBetween(m_arrivedAt, attempt.startedAt()) },
+               { "targetMilliseconds", millisecondsBetween(attempt.startedAt(), attempt.answeredAt()) },
+               { "expectedMilliseconds", std::chrono::duration_cast<Milliseconds>(attempt.forecast().time).count() },
+               { "expectedWarm", nameOf(attempt.forecast().warmth) },
+               { "expectedFree", attempt.forecast().hasFreeSlot },
+               { "totalMilliseconds", millisecondsBetween(m_arrivedAt, m_loop.now()) },
+               { "running", load ? load->running : -1 },
+               { "waiting", load ? load->waiting : -1 },
+               { "slots", load ? load->slots : -1 },
+               { "configuration", m_rules->version() } });
+}
+
+} // namespace Sapphire
