LibEntry: Let a large region wait for its first readers before all its VMs read

Targets entered faster than the news could be followed, each VM read for itself after 300 ms, and together they filled the region's link, so that none ended in time. The region's two relays had read the list of VMs before their own entry and passed nothing on.

--- a/Libraries/LibEntry/SharedSourceDuty.cpp
+++ b/Libraries/LibEntry/SharedSourceDuty.cpp
@@ -145,12 +145,11 @@
 void SharedSourceDuty::noteTeller(const Reading &reading)
 {
     const VmRecord *const teller = m_parts.roster.find(reading.toldBy);
-    const VmRecord *const own = m_parts.roster.find(m_parts.own);
-    if (teller == nullptr || own == nullptr) {
+    if (teller == nullptr) {
         return;
     }
     const TimePoint now = m_parts.loop.now();
-    if (teller->place.region != own->place.region) {
+    if (teller->place.region != m_parts.roster.ownRegion()) {
         m_state.noteBetterReader();
         m_parts.peers.tellReading(reading);
         return;
--- a/Libraries/LibEntry/TargetListDuty.cpp
+++ b/Libraries/LibEntry/TargetListDuty.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t mostEntriesPerDatagram = 24;
 // A change that was lost is asked for at another VM before the whole list is read.
 constexpr Milliseconds helpTime { 300 };
+// In a large region, whose VMs would fill their link to the platform if all of them read thousands of targets, the
+// first few in the order of readers get the time for a reading of their own before the others read, too.
+constexpr Milliseconds longHelpTime { 1'500 };
+constexpr Milliseconds longUnconfirmed { 3'200 };
 // Parts of a reading are told within this time, by whose age they are dated.
 constexpr Milliseconds partTime { 100 };
 // In a region of so many VMs a starting one takes the list from another VM. It reads the list itself if that takes
@@ -62,7 +66,6 @@
 {
     m_grace.noteSuccess(loop().now());
     std::vector<TargetListChange> parts = m_list.applyWhole(targets, m_grace, loop().now(), mostEntriesPerDatagram);
-    adjustTimes();
     std::vector<Reading> readings;
     for (TargetListChange &part : parts) {
         m_onChange(part);
@@ -102,8 +105,10 @@
 void TargetListDuty::adjustTimes()
 {
     const auto calls = static_cast<std::int64_t>(m_list.size() / targetsPerCall);
+    const bool isLarge = parts().roster.isRegionLarge();
     m_readingTime = callTime + timePerCall * calls;
-    state().setHelpTime(helpTime + helpTimePerCall * calls);
+    state().setPatience((isLarge ? longHelpTime : helpTime) + helpTimePerCall * calls,
+                        isLarge ? longUnconfirmed : SharedReadingSettings {}.longestUnconfirmed);
 }
 
 void TargetListDuty::readFailed()
@@ -114,6 +119,7 @@
 void TargetListDuty::seekHelp(std::size_t rank)
 {
     const TimePoint now = loop().now();
+    adjustTimes();
     if (!std::exchange(m_hasPlannedStart, true)) {
         const bool isLarge = parts().roster.readersOf("", now).size() > largeRegion;
         if (isLarge || m_settings.isFirstStart) {
@@ -201,7 +207,6 @@
         m_onChange({ 0, m_list.digest(), m_list.targets(), {} });
     }
     state().noteAdopted(statement.digest, statement.readAt);
-    adjustTimes();
     logEvent(EntryEvents::listTakenOver,
              { { "list", subjectName() },
                { "digest", statement.digest },
--- a/Libraries/LibEntry/TargetListDuty.h
+++ b/Libraries/LibEntry/TargetListDuty.h
@@ -40,7 +40,8 @@
     void seekHelp(std::size_t rank) override;
     /// Takes the entries of a reading that is of another list than the one before it.
     void mergeReading(const Reading &reading);
-    /// A longer list takes longer to read, and so is worth a longer wait for help.
+    /// Sets how long a reading may take, and how long this VM waits for others before it reads. A longer list takes
+    /// longer to read, and many VMs that read it at once fill the link of their region to the platform.
     void adjustTimes();
     void takeList(const std::vector<KnownTarget> &targets, TimePoint begunAt);
     /// Returns the VM that most likely knows what this one lacks.
--- a/Libraries/LibSteering/SharedReading.h
+++ b/Libraries/LibSteering/SharedReading.h
@@ -49,10 +49,12 @@
     void noteFailed();
     /// A reading that began at the given time has ended, and the list had this digest.
     void noteRead(std::uint64_t digest, TimePoint begunAt);
-    /// Sets for how long other VMs may help before a VM that lacks something reads for itself.
-    void setHelpTime(Milliseconds time)
+    /// Sets for how long other VMs may help before a VM that lacks something reads for itself, and after how long any
+    /// VM does so that has had nothing confirmed.
+    void setPatience(Milliseconds helpTime, Milliseconds longestUnconfirmed)
     {
-        m_settings.helpTime = time;
+        m_settings.helpTime = helpTime;
+        m_settings.longestUnconfirmed = longestUnconfirmed;
     }
     /// A reader says that the list had a digest at the given time, now.
     void noteStatement(std::uint64_t digest, TimePoint readAt, TimePoint now);
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -62,6 +62,16 @@
         return m_settings.heartbeatInterval * static_cast<std::int64_t>(m_heartbeats.heartbeatsBetween(vm));
     }
 
+    /// Whether the own region is so large that its VMs hear most heartbeats of each other in turn.
+    bool isRegionLarge() const
+    {
+        return m_heartbeats.needsReports();
+    }
+    const RegionId &ownRegion() const
+    {
+        return m_ownPlace.region;
+    }
+
     /// VMs that are entered, this one included: the number among which limits are divided.
     std::size_t count() const;
     /// All entered VMs of the region but this one.
--- a/Tests/LibEntry/TestTargetListDuty.cpp
+++ b/Tests/LibEntry/TestTargetListDuty.cpp
@@ -226,6 +226,10 @@
     CHECK(take(near) == 1);
     CHECK(take(neighbour) == 0);
     CHECK(fixture.peers.relayed().size() == relayedBefore);
+    // A VM whose list of VMs is from before its own entry passes news on as well.
+    fixture.roster.applyRecords({ near, neighbour }, fixture.clock.now());
+    CHECK(take(near) == 1);
+    CHECK(take(neighbour) == 0);
 }
 
 TEST_CASE("TargetListDuty takes the other parts of a reading of which one was lost, and asks for that one alone")
--- a/Tests/LibSteering/TestSharedReading.cpp
+++ b/Tests/LibSteering/TestSharedReading.cpp
@@ -185,9 +185,22 @@
     // Guards against a large region in which all VMs read a list of thousands of targets, because the reader's news
     // can't be followed for longer than a silent reader is waited for.
     SharedReading state = stateAfterReading();
-    state.setHelpTime(Milliseconds(3'000));
+    state.setPatience(Milliseconds(3'000), Milliseconds(1'700));
     state.noteStatement(digest + 1, start + Milliseconds(900), start + Milliseconds(900));
     CHECK(state.lacksSomething());
     CHECK(!state.isDue(start + Milliseconds(2'600), later));
     CHECK(state.isDue(start + Milliseconds(3'900), later));
 }
+
+TEST_CASE("SharedReading in a large region lets the first few take over from a silent reader before all read")
+{
+    // Guards against a region whose VMs all read at once, fill their link to the platform, and go on for ever since
+    // none of them ends in time.
+    SharedReading state = stateAfterReading();
+    state.setPatience(Milliseconds(1'500), Milliseconds(3'200));
+    const TimePoint firstFew = start + Milliseconds(1'700);
+    CHECK(state.isDue(firstFew, second));
+    CHECK(state.isDue(firstFew, second + 2));
+    CHECK(!state.isDue(firstFew, later));
+    CHECK(state.isDue(start + Milliseconds(3'200), later));
+}
