LibSteering: Let large VMs read and relay, and take help with the digest that is wanted

Cause: both relays of the far region were VMs of 0.07 cores with links of 10 Mbit/s. The parts of the first readings, sent to a hundred VMs, filled their links for 20 s, so that neither heartbeats nor news came through (scratch deployment of 300 VMs, trial). Help that ended after the next reading was told counted as outdated, though the list had not changed. A VM that had taken over reading did not know that relayed news make its readings needless. Change: readers and relays are the VMs with the largest processor share, rendezvous hashing decides among equals; help with the digest that was told is taken; relayed readings say so, and end a takeover.

--- a/Libraries/LibEntry/SharedSourceDuty.cpp
+++ b/Libraries/LibEntry/SharedSourceDuty.cpp
@@ -151,7 +151,13 @@
     const TimePoint now = m_parts.loop.now();
     if (teller->place.region != m_parts.roster.ownRegion()) {
         m_state.noteBetterReader();
-        m_parts.peers.tellReading(reading);
+        Reading relayed = reading;
+        relayed.isRelayed = true;
+        m_parts.peers.tellReading(relayed);
+        return;
+    }
+    if (reading.isRelayed) {
+        m_state.noteBetterReader();
         return;
     }
     const std::vector<VmId> readers = m_parts.roster.readersOf(subjectName(), now);
--- a/Libraries/LibEntry/TargetListDuty.cpp
+++ b/Libraries/LibEntry/TargetListDuty.cpp
@@ -184,7 +184,7 @@
         m_help.noteUnhelpful(now);
         return;
     }
-    if (!state().isHelpful(statement.readAt)) {
+    if (!state().isHelpful(statement.digest, statement.readAt)) {
         m_help.noteUnhelpful(now);
         return;
     }
--- a/Libraries/LibPeer/Reading.h
+++ b/Libraries/LibPeer/Reading.h
@@ -22,6 +22,7 @@
     TargetListChange change {}; ///< Of targets, against the list that the reader knew before.
     std::string document {}; ///< Of rules, if they are news: from which other VMs can read them, too.
     VmId toldBy {}; ///< Empty for this VM's own reading.
+    bool isRelayed { false }; ///< `toldBy` heard it from the region that reads for all.
 };
 
 } // namespace Sapphire
--- a/Libraries/LibPeer/ReadingCodec.cpp
+++ b/Libraries/LibPeer/ReadingCodec.cpp
@@ -43,6 +43,7 @@
     message.set_digest(reading.digest);
     message.set_age(millisecondsUntil(reading.readAt, now));
     message.set_base(reading.change.base);
+    message.set_is_relayed(reading.isRelayed);
     for (const KnownTarget &target : reading.change.changed) {
         encodeTarget(target, now, *message.add_changed());
     }
@@ -65,6 +66,7 @@
         return std::nullopt;
     }
     reading.digest = message.digest();
+    reading.isRelayed = message.is_relayed();
     reading.readAt = now - Milliseconds(message.age());
     reading.change.base = message.base();
     reading.change.digest = message.digest();
--- a/Libraries/LibSteering/SharedReading.cpp
+++ b/Libraries/LibSteering/SharedReading.cpp
@@ -48,11 +48,12 @@
     m_isActing = false;
 }
 
-bool SharedReading::isHelpful(TimePoint confirmedAt) const
+bool SharedReading::isHelpful(std::uint64_t digest, TimePoint confirmedAt) const
 {
     // Times lose some milliseconds on their way from VM to VM.
     constexpr Milliseconds tolerance { 100 };
-    return m_lacksSomething && confirmedAt >= m_confirmedAt && confirmedAt + tolerance >= m_wantedAt;
+    const bool isRecent = confirmedAt >= m_confirmedAt && confirmedAt + tolerance >= m_wantedAt;
+    return m_lacksSomething && (digest == m_wantedDigest || isRecent);
 }
 
 void SharedReading::noteRead(std::uint64_t digest, TimePoint begunAt)
@@ -80,7 +81,10 @@
             m_helpUntil = Deadline::after(now, m_settings.helpTime);
         }
         m_lacksSomething = true;
-        m_wantedAt = std::max(m_wantedAt, readAt);
+        if (readAt >= m_wantedAt) {
+            m_wantedAt = readAt;
+            m_wantedDigest = digest;
+        }
     }
 }
 
--- a/Libraries/LibSteering/SharedReading.h
+++ b/Libraries/LibSteering/SharedReading.h
@@ -80,8 +80,8 @@
     {
         return m_confirmedAt;
     }
-    /// Whether another VM's list of the given time may hold what this one lacks.
-    bool isHelpful(TimePoint confirmedAt) const;
+    /// Whether another VM's list with this digest, confirmed at the given time, may hold what this one lacks.
+    bool isHelpful(std::uint64_t digest, TimePoint confirmedAt) const;
     /// Whether this VM has the list, be it an old one.
     bool hasList() const
     {
@@ -100,7 +100,8 @@
     std::uint64_t m_digest { 0 };
     TimePoint m_begunAt {};
     TimePoint m_confirmedAt {};
-    TimePoint m_wantedAt {}; ///< When another VM read what this one lacks.
+    std::uint64_t m_wantedDigest { 0 }; ///< Of what another VM read and this one lacks.
+    TimePoint m_wantedAt {}; ///< When that VM read it.
     Deadline m_helpUntil {}; ///< Until then a VM that lacks something leaves the reading to others.
     bool m_isReading { false };
     bool m_hasFailed { false }; ///< The last reading.
--- a/Libraries/LibSteering/VmRoster.cpp
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -147,16 +147,14 @@
     struct Ranked
     {
         bool canRead;
-        double score;
+        TellerScore score;
         VmId vm;
     };
-    const std::uint64_t key = stableHash(list);
     std::vector<Ranked> ranked;
     for (const auto &[vm, entry] : m_entries) {
         if (isAvailable(vm, now)) {
             const VmPresence &presence = vm == m_own ? m_ownPresence : entry.presence;
-            ranked.push_back({ !presence.cannotRead,
-                               weightedRank(rendezvousRank(key, entry.hash), entry.record.processorShare), vm });
+            ranked.push_back({ !presence.cannotRead, tellerScore(list, entry), vm });
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
@@ -170,9 +168,9 @@
     return readers;
 }
 
-double VmRoster::readerScore(std::string_view list, const Entry &entry)
+VmRoster::TellerScore VmRoster::tellerScore(std::string_view list, const Entry &entry)
 {
-    return weightedRank(rendezvousRank(stableHash(list), entry.hash), entry.record.processorShare);
+    return { entry.record.processorShare, rendezvousRank(stableHash(list), entry.hash) };
 }
 
 std::size_t VmRoster::readerRank(std::string_view list, bool isReadForAll, TimePoint now) const
@@ -185,10 +183,10 @@
 std::vector<VmId> VmRoster::relaysOf(std::string_view list, const RegionId &region) const
 {
     constexpr std::size_t mostRelays = 2;
-    std::vector<std::pair<double, VmId>> ranked;
+    std::vector<std::pair<TellerScore, VmId>> ranked;
     for (const auto &[vm, entry] : m_entries) {
         if (entry.record.place.region == region) {
-            ranked.emplace_back(readerScore(list, entry), vm);
+            ranked.emplace_back(tellerScore(list, entry), vm);
         }
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Sapphire {
@@ -131,8 +132,11 @@
 
     /// Whether the VM may do something for the others of the region.
     bool isAvailable(const VmId &vm, TimePoint now) const;
-    /// Returns the place of a VM in the order of readers as far as it doesn't change while the VM lives.
-    static double readerScore(std::string_view list, const Entry &entry);
+    /// The place of a VM in the order of those that tell a region what was read, as far as it doesn't change while the
+    /// VM lives: first its processor share, then its rank. What one VM tells a hundred others would fill the link of a
+    /// small one for seconds.
+    using TellerScore = std::pair<double, std::uint64_t>;
+    static TellerScore tellerScore(std::string_view list, const Entry &entry);
     void findNearestRegion();
     void planHeartbeats();
     /// Returns how long the VM may be silent before it is taken for dead.
--- a/Tests/LibEntry/TestTargetListDuty.cpp
+++ b/Tests/LibEntry/TestTargetListDuty.cpp
@@ -224,6 +224,7 @@
         return fixture.peers.readings().size() - before;
     };
     CHECK(take(near) == 1);
+    CHECK(fixture.peers.readings().back().isRelayed);
     CHECK(take(neighbour) == 0);
     CHECK(fixture.peers.relayed().size() == relayedBefore);
     // A VM whose list of VMs is from before its own entry passes news on as well.
