LibEntry: Give the first reading of targets its time again

Cause: adjustTimes(), which runs before the first reading since a large region waits for its first readers, set its time from the empty list: 1.5 s in place of 4 s. Change: the time follows the list only once there is one.

--- a/Libraries/LibEntry/TargetListDuty.cpp
+++ b/Libraries/LibEntry/TargetListDuty.cpp
@@ -106,7 +106,9 @@
 {
     const auto calls = static_cast<std::int64_t>(m_list.size() / targetsPerCall);
     const bool isLarge = parts().roster.isRegionLarge();
-    m_readingTime = callTime + timePerCall * calls;
+    if (state().hasList()) {
+        m_readingTime = callTime + timePerCall * calls;
+    }
     state().setPatience((isLarge ? longHelpTime : helpTime) + helpTimePerCall * calls,
                         isLarge ? longUnconfirmed : SharedReadingSettings {}.longestUnconfirmed);
 }
--- a/Libraries/LibSteering/VmRoster.cpp
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -53,7 +53,7 @@
 
 Milliseconds VmRoster::longestSilenceOf(const VmId &vm) const
 {
-    return m_settings.longestSilence + heartbeatTime(vm) - m_settings.heartbeatInterval;
+    return m_settings.longestSilence + heartbeatDelay(vm);
 }
 
 void VmRoster::noteReportedSilent(const VmId &vm, const VmId &reporter, TimePoint now)
@@ -150,11 +150,12 @@
         TellerScore score;
         VmId vm;
     };
+    const std::uint64_t key = stableHash(list);
     std::vector<Ranked> ranked;
     for (const auto &[vm, entry] : m_entries) {
         if (isAvailable(vm, now)) {
             const VmPresence &presence = vm == m_own ? m_ownPresence : entry.presence;
-            ranked.push_back({ !presence.cannotRead, tellerScore(list, entry), vm });
+            ranked.push_back({ !presence.cannotRead, tellerScore(key, entry), vm });
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
@@ -168,9 +169,9 @@
     return readers;
 }
 
-VmRoster::TellerScore VmRoster::tellerScore(std::string_view list, const Entry &entry)
+VmRoster::TellerScore VmRoster::tellerScore(std::uint64_t key, const Entry &entry)
 {
-    return { entry.record.processorShare, rendezvousRank(stableHash(list), entry.hash) };
+    return { entry.record.processorShare, rendezvousRank(key, entry.hash) };
 }
 
 std::size_t VmRoster::readerRank(std::string_view list, bool isReadForAll, TimePoint now) const
@@ -183,10 +184,11 @@
 std::vector<VmId> VmRoster::relaysOf(std::string_view list, const RegionId &region) const
 {
     constexpr std::size_t mostRelays = 2;
+    const std::uint64_t key = stableHash(list);
     std::vector<std::pair<TellerScore, VmId>> ranked;
     for (const auto &[vm, entry] : m_entries) {
         if (entry.record.place.region == region) {
-            ranked.emplace_back(tellerScore(list, entry), vm);
+            ranked.emplace_back(tellerScore(key, entry), vm);
         }
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
@@ -237,7 +239,7 @@
     std::vector<VmId> silent;
     for (const auto &[vm, entry] : m_entries) {
         const bool isOwnRegion = entry.record.place.region == m_ownPlace.region;
-        const Milliseconds longest = time + heartbeatTime(vm) - m_settings.heartbeatInterval;
+        const Milliseconds longest = time + heartbeatDelay(vm);
         if (vm != m_own && isOwnRegion && now - std::max(entry.heardAt, entry.listedAt) > longest) {
             silent.push_back(vm);
         }
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -136,9 +136,14 @@
     /// VM lives: first its processor share, then its rank. What one VM tells a hundred others would fill the link of a
     /// small one for seconds.
     using TellerScore = std::pair<double, std::uint64_t>;
-    static TellerScore tellerScore(std::string_view list, const Entry &entry);
+    static TellerScore tellerScore(std::uint64_t key, const Entry &entry);
     void findNearestRegion();
     void planHeartbeats();
+    /// Returns by how much longer a VM may be silent since this one does not hear each of its heartbeats.
+    Milliseconds heartbeatDelay(const VmId &vm) const
+    {
+        return heartbeatTime(vm) - m_settings.heartbeatInterval;
+    }
     /// Returns how long the VM may be silent before it is taken for dead.
     Milliseconds longestSilenceOf(const VmId &vm) const;
 
--- a/Tests/LibEntry/TestTargetListDuty.cpp
+++ b/Tests/LibEntry/TestTargetListDuty.cpp
@@ -33,11 +33,18 @@
     {
         return m_readings;
     }
+    /// Returns how much time the first reading was given.
+    Microseconds firstTime() const
+    {
+        return m_firstTime.load();
+    }
 
 private:
-    Result<std::vector<KnownTarget>> read(Deadline) override
+    Result<std::vector<KnownTarget>> read(Deadline deadline) override
     {
-        ++m_readings;
+        if (m_readings++ == 0) {
+            m_firstTime = deadline.remaining(BootClock().now());
+        }
         const std::lock_guard guard(m_mutex);
         return m_targets;
     }
@@ -45,6 +52,7 @@
     std::mutex m_mutex;
     std::vector<KnownTarget> m_targets;
     std::atomic<int> m_readings { 0 };
+    std::atomic<Microseconds> m_firstTime { Microseconds(0) };
 };
 
 struct Fixture : DutyFixture
@@ -285,3 +293,11 @@
         { ReadingSubject::Targets, digest + 2, before, { digest + 1, digest + 2, { target("gone") }, {} }, {} });
     CHECK(fixture.changes.empty());
 }
+
+TEST_CASE("TargetListDuty gives its first reading time for a long list")
+{
+    // Guards against a VM far from the platform that never ends its first reading, since it doesn't know how long the
+    // list is.
+    const Fixture fixture({ target("a") });
+    CHECK(fixture.source.firstTime() > Milliseconds(2'000));
+}
