LibSteering: Blame a request once for each death of a target

Cause: a target's death was counted once for each copy of a request in flight there. Ruled out: a death that is told twice (TargetEntry tells it once until the target answers). Change: CrashSuspects takes all requests of a death at once and counts each distinct one once. Copies of one request count as alone, so that two copies of a booking that end their target refuse the third.

--- a/Libraries/LibCaller/RegionRouter.cpp
+++ b/Libraries/LibCaller/RegionRouter.cpp
@@ -113,10 +113,10 @@
     return result;
 }
 
-void RegionRouter::noteCrash(const Fingerprint &fingerprint, bool wasAlone)
+void RegionRouter::noteDeath(std::vector<Fingerprint> running, bool areAllKnown)
 {
     const std::lock_guard guard(m_mutex);
-    m_suspects.noteCrash(fingerprint, wasAlone, m_parts.clock.now());
+    m_suspects.noteDeath(std::move(running), areAllKnown, m_parts.clock.now());
     m_onSuspect();
 }
 
--- a/Libraries/LibCaller/RegionRouter.h
+++ b/Libraries/LibCaller/RegionRouter.h
@@ -45,7 +45,8 @@
     /// Returns the weights of a service by region, for operators.
     std::map<RegionId, Share> weights(const ServiceId &service) const;
 
-    void noteCrash(const Fingerprint &fingerprint, bool wasAlone);
+    /// Notes that a target died while these requests of this VM ran there, one entry for each.
+    void noteDeath(std::vector<Fingerprint> running, bool areAllKnown);
     void mergeSuspect(const CrashSuspect &suspect);
     /// Sets a function that is called when a suspect is new or worse. It must not call the router.
     void setSuspectListener(std::function<void()> listener);
--- a/Libraries/LibDaemon/CrashReporter.cpp
+++ b/Libraries/LibDaemon/CrashReporter.cpp
@@ -4,9 +4,12 @@
 
 void CrashReporter::targetDied(const TargetDeath &death)
 {
+    std::vector<Fingerprint> running;
+    running.reserve(death.fingerprints.size());
     for (const std::string &fingerprint : death.fingerprints) {
-        m_router->noteCrash(Fingerprint(fingerprint), death.isAlone);
+        running.emplace_back(fingerprint);
     }
+    m_router->noteDeath(std::move(running), death.areAllKnown);
 }
 
 } // namespace Sapphire
--- a/Libraries/LibGateway/CrashWatch.cpp
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -44,11 +44,14 @@
         return now - entry.at > brokenMemory;
     });
     const bool isMassEnd = noteEnd(now);
+    std::vector<Fingerprint> blamed;
     for (const Broken &entry : broken) {
         if (!isMassEnd || m_suspects.isSuspected(entry.fingerprint)) {
-            m_suspects.noteCrash(entry.fingerprint, broken.size() == 1, now);
+            blamed.push_back(entry.fingerprint);
         }
     }
+    const bool areAll = blamed.size() == broken.size();
+    m_suspects.noteDeath(std::move(blamed), areAll, now);
     for (const CrashSuspect &suspect : m_suspects.seenAfter(now - justNow, now)) {
         m_onSuspect(suspect);
     }
--- a/Libraries/LibSteering/CrashSuspects.cpp
+++ b/Libraries/LibSteering/CrashSuspects.cpp
@@ -21,7 +21,17 @@
 
 } // namespace
 
-void CrashSuspects::noteCrash(const Fingerprint &fingerprint, bool wasAlone, TimePoint now)
+void CrashSuspects::noteDeath(std::vector<Fingerprint> running, bool areAllKnown, TimePoint now)
+{
+    std::sort(running.begin(), running.end());
+    running.erase(std::unique(running.begin(), running.end()), running.end());
+    const int points = areAllKnown && running.size() == 1 ? pointsAlone : pointsBesideOthers;
+    for (const Fingerprint &fingerprint : running) {
+        noteCrash(fingerprint, points, now);
+    }
+}
+
+void CrashSuspects::noteCrash(const Fingerprint &fingerprint, int points, TimePoint now)
 {
     if (!m_suspects.contains(fingerprint) && m_suspects.size() >= mostSuspects) {
         expire(now);
@@ -32,7 +42,7 @@
     CrashSuspect &suspect = m_suspects[fingerprint];
     suspect.fingerprint = fingerprint;
     suspect.lastSeenAt = now;
-    suspect.crashes += wasAlone ? pointsAlone : pointsBesideOthers;
+    suspect.crashes += points;
 }
 
 void CrashSuspects::noteAnswered(const Fingerprint &fingerprint, TimePoint now)
--- a/Libraries/LibSteering/CrashSuspects.h
+++ b/Libraries/LibSteering/CrashSuspects.h
@@ -11,8 +11,10 @@
 class CrashSuspects
 {
 public:
-    /// Notes that a target died while the request ran there, alone or beside others.
-    void noteCrash(const Fingerprint &fingerprint, bool wasAlone, TimePoint now);
+    /// Notes that a target died while these requests ran there, one entry for each. A request that ran there several
+    /// times at once is blamed once: it saw one death. It was alone if all known entries are its own and nothing else
+    /// ran there.
+    void noteDeath(std::vector<Fingerprint> running, bool areAllKnown, TimePoint now);
     /// Notes that a target answered the request. A request that targets have answered is blamed only if several die one
     /// after the other without an answer in between: many callers may read the same path while a region fails.
     void noteAnswered(const Fingerprint &fingerprint, TimePoint now);
@@ -31,6 +33,7 @@
     void expire(TimePoint now);
 
 private:
+    void noteCrash(const Fingerprint &fingerprint, int points, TimePoint now);
     bool wasAnswered(const Fingerprint &fingerprint, TimePoint now) const;
 
     std::map<Fingerprint, CrashSuspect> m_suspects;
--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -376,12 +376,13 @@
     {
         const std::lock_guard guard(service.mutex);
         const TargetState *state = service.selector.state(choice.attempt.target);
-        const bool othersWork = state != nullptr && state->busySlots(now) > 1;
-        death.isAlone = death.fingerprints.size() == 1 && !othersWork;
+        death.areAllKnown = state == nullptr || state->busySlots(now) <= static_cast<int>(death.fingerprints.size());
         service.selector.noteDied(choice.attempt.target, now, service.random);
     }
     logEvent(TargetEvents::targetDied,
-             { { "target", death.target }, { "inFlight", death.fingerprints.size() }, { "alone", death.isAlone } });
+             { { "target", death.target },
+               { "inFlight", death.fingerprints.size() },
+               { "areAllKnown", death.areAllKnown } });
     if (m_listener != nullptr) {
         m_listener->targetDied(death);
     }
--- a/Libraries/LibTarget/TargetDeathListener.h
+++ b/Libraries/LibTarget/TargetDeathListener.h
@@ -13,11 +13,11 @@
 {
     TargetId target;
     TimePoint at {};
-    /// Of this VM's requests that were in flight there, as given to ServiceTargets::run().
+    /// Of this VM's requests that were in flight there, one for each, as given to ServiceTargets::run().
     std::vector<std::string> fingerprints;
-    /// Whether there was one request only, as far as this VM knows: one of its own, and the target's last report
-    /// counted no more.
-    bool isAlone { false };
+    /// Whether these were all requests in flight there, as far as this VM knows: the target's last report counted no
+    /// more.
+    bool areAllKnown { false };
 };
 
 /// Learns which requests may have killed a target.
--- a/Tests/LibCaller/TestEntryHandler.cpp
+++ b/Tests/LibCaller/TestEntryHandler.cpp
@@ -106,7 +106,7 @@
 {
     CallerFixture fixture;
     const RequestHead head = fixture.booking("order-1");
-    fixture.router->noteCrash(fingerprintOf(head, ""), true);
+    fixture.router->noteDeath({ fingerprintOf(head, "") }, true);
     MemorySink sink;
     const ExchangeReport report = fixture.send(head, sink);
     REQUIRE(report.refusal);
--- a/Tests/LibSteering/TestCrashSuspects.cpp
+++ b/Tests/LibSteering/TestCrashSuspects.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 const Fingerprint request("f1");
+const Fingerprint bystander("f2");
 const TimePoint start { Milliseconds(1000) };
 
 } // namespace
@@ -16,10 +17,10 @@
     // Guards against a resent request that takes down one target after another.
     CrashSuspects suspects;
     CHECK_FALSE(suspects.isRefused(request, false, start));
-    suspects.noteCrash(request, true, start);
+    suspects.noteDeath({ request }, true, start);
     CHECK(suspects.isRefused(request, false, start));
     CHECK_FALSE(suspects.isRefused(request, true, start));
-    suspects.noteCrash(request, true, start);
+    suspects.noteDeath({ request }, true, start);
     CHECK(suspects.isRefused(request, true, start));
 }
 
@@ -27,9 +28,9 @@
 {
     // Guards against refusing every request that happened to run beside the faulty one.
     CrashSuspects suspects;
-    suspects.noteCrash(request, false, start);
+    suspects.noteDeath({ request, bystander }, true, start);
     CHECK_FALSE(suspects.isRefused(request, false, start));
-    suspects.noteCrash(request, false, start);
+    suspects.noteDeath({ request, bystander }, true, start);
     CHECK(suspects.isRefused(request, false, start));
 }
 
@@ -48,13 +49,33 @@
     CrashSuspects suspects;
     suspects.noteAnswered(request, start);
     for (int target = 0; target < 6; ++target) {
-        suspects.noteCrash(request, true, start);
+        suspects.noteDeath({ request }, true, start);
     }
     CHECK_FALSE(suspects.isRefused(request, true, start));
     CHECK(suspects.seenAfter(start - Milliseconds(1), start).empty());
-    suspects.noteCrash(request, true, start);
-    suspects.noteCrash(request, true, start);
+    suspects.noteDeath({ request }, true, start);
+    suspects.noteDeath({ request }, true, start);
     CHECK(suspects.isRefused(request, true, start));
     suspects.noteAnswered(request, start);
     CHECK_FALSE(suspects.isRefused(request, true, start));
 }
+
+TEST_CASE("CrashSuspects blames a request once for a death, however often it ran there")
+{
+    // Guards against a path that many callers read and that is refused for good once the targets of a region fail: the
+    // ten requests in flight at each of them counted as ten deaths.
+    CrashSuspects suspects;
+    suspects.noteAnswered(request, start);
+    for (int targets = 0; targets < 3; ++targets) {
+        suspects.noteDeath(std::vector<Fingerprint>(10, request), true, start);
+    }
+    CHECK_FALSE(suspects.isRefused(request, true, start));
+}
+
+TEST_CASE("CrashSuspects counts copies of one request as alone at a target")
+{
+    // Guards against a booking that a second target gets because two copies of it took down the first one.
+    CrashSuspects suspects;
+    suspects.noteDeath({ request, request }, true, start);
+    CHECK(suspects.isRefused(request, false, start));
+}
