--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -1,11 +1,11 @@
 #include <LibTarget/ServiceTargets.h>
 
+#include <LibTarget/DeathProbe.h>
 #include <LibTarget/LibTargetEvents.h>
 
 #include <Poco/Exception.h>
 
 #include <algorithm>
-#include <array>
 
 namespace Sapphire {
 
@@ -18,12 +18,7 @@
 constexpr std::size_t prefetchBytes = 16384;
 // Observers, restarted VMs and connections that are being closed take the rest of a target's limit.
 constexpr double usableConnectionShare = 0.8;
-constexpr Milliseconds probeTimeout { 100 };
-constexpr int mostDeathProbes = 3;
-// A connection that lives longer than this was accepted by the target itself.
-constexpr Milliseconds probeEndWait { 20 };
 constexpr Milliseconds longestWaitSlice { 20 };
-constexpr Milliseconds reportLifetime { 10'000 };
 constexpr int firstServerError = 500;
 // Silence that is shorter shows nothing of a target: the caller may have given too little time.
 constexpr int silenceFactor = 3;
@@ -336,33 +331,9 @@
     return AttemptOutcome::Nothing;
 }
 
-bool ServiceTargets::refusesConnections(const Poco::Net::SocketAddress &address) const
-{
-    // What stands before a dead target may accept one more connection, and resets it once it has been refused itself.
-    for (int probes = 0; probes < mostDeathProbes; ++probes) {
-        const WaitLimit connectLimit { Deadline::after(m_clock.now(), probeTimeout) };
-        const auto probe = capture([&] {
-            return TargetConnection::create(address, m_clock, connectLimit);
-        });
-        if (!probe) {
-            return probe.error().code == ErrorCode::Unavailable;
-        }
-        const WaitLimit endLimit { Deadline::after(m_clock.now(), probeEndWait) };
-        std::array<char, 1> buffer {};
-        const auto end = capture([&] {
-            return probe.value()->receive(buffer, endLimit);
-        });
-        const bool hasEnded = end ? end.value() == 0 : end.error().code == ErrorCode::Unavailable;
-        if (!hasEnded) {
-            return false;
-        }
-    }
-    return false;
-}
-
 void ServiceTargets::checkDeath(Service &service, const Choice &choice)
 {
-    if (!refusesConnections(choice.target->pool().address())) {
+    if (!refusesConnections(choice.target->pool().address(), m_clock)) {
         return;
     }
     // This request is still counted as in flight, and so are others whose end was not seen yet.
@@ -390,13 +361,8 @@
 
 void ServiceTargets::takeReport(const TargetReport &report)
 {
-    {
-        const std::lock_guard guard(m_reportMutex);
-        TargetReport &newest = m_reports[{ report.target, report.observer }];
-        if (report.observedAt <= newest.observedAt) {
-            return;
-        }
-        newest = report;
+    if (!m_reports.take(report)) {
+        return;
     }
     for (const auto &[id, service] : services()) {
         const std::lock_guard guard(service->mutex);
@@ -415,15 +381,7 @@
 
 std::vector<TargetReport> ServiceTargets::reports() const
 {
-    const std::lock_guard guard(m_reportMutex);
-    const TimePoint now = m_clock.now();
-    std::vector<TargetReport> recent;
-    for (const auto &[key, report] : m_reports) {
-        if (now - report.observedAt < reportLifetime) {
-            recent.push_back(report);
-        }
-    }
-    return recent;
+    return m_reports.reports(m_clock.now());
 }
 
 std::vector<RegionRoom> ServiceTargets::rooms() const
@@ -490,10 +448,7 @@
             logEvent(TargetEvents::targetEjected, { { "target", target }, { "lastAttempt", "outlier" } });
         }
     }
-    const std::lock_guard guard(m_reportMutex);
-    std::erase_if(m_reports, [&](const auto &entry) {
-        return now - entry.second.observedAt >= reportLifetime;
-    });
+    m_reports.expire(now);
 }
 
 } // namespace Sapphire
--- a/Libraries/LibTarget/ServiceTargets.h
+++ b/Libraries/LibTarget/ServiceTargets.h
@@ -5,6 +5,7 @@
 #include <LibTarget/ReplayableBody.h>
 #include <LibTarget/TargetDeathListener.h>
 #include <LibTarget/TargetEntry.h>
+#include <LibTarget/TargetReportBook.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -115,8 +116,6 @@
     /// Returns after how long without an answer a target counts as silent. The service's mutex must be held.
     static Microseconds enoughSilence(const Service &service, const TargetId &target);
     void checkDeath(Service &service, const Choice &choice);
-    /// Returns whether the target refuses connections. Takes some time if it does not.
-    bool refusesConnections(const Poco::Net::SocketAddress &address) const;
     static bool mayTryAgain(const RequestHead &head, const AttemptReport &report, const ReplayableBody &body);
     static Refusal refusalOf(const Selection &selection);
 
@@ -125,8 +124,7 @@
     TargetDeathListener *m_listener;
     mutable std::shared_mutex m_mutex; ///< Guards m_services; taken before a service's own mutex.
     std::map<ServiceId, RefPointer<Service>> m_services;
-    mutable std::mutex m_reportMutex;
-    std::map<std::pair<TargetId, VmId>, TargetReport> m_reports;
+    TargetReportBook m_reports;
 };
 
 } // namespace Sapphire
