LibPeer: Let a reading cross availability zones once for each zone of a large region

Cause: two readers and two relays a region told each of its VMs what they had read. Change: in a region of over 48 other VMs the teller sends to its own zone and to one living VM of each other zone, which passes it on under the teller's name. Each teller chooses another VM, so that one death costs a zone one of two copies. A VM that was paused passes nothing on for half a second: what waited in its socket is of unknown age. Tests: zone relays in TestVmRoster; eight VMs on sockets hear a reading once, from its reader. While a starting VM counted as paused, three of the seven heard nothing.

--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -21,6 +21,9 @@
 constexpr Milliseconds longestPause { 1'500 };
 constexpr Milliseconds timeToHearAll { 3'000 };
 constexpr std::size_t mostReportsPerDatagram { 40 };
+// After a pause of the own process, what waits in its socket is of unknown age and is not passed on as if it were new.
+constexpr Milliseconds longestStall { 500 };
+constexpr Milliseconds timeToCatchUp { 500 };
 constexpr double centislots = 100;
 
 using WireDemands = google::protobuf::RepeatedPtrField<peer::ServiceDemand>;
@@ -67,6 +70,7 @@
                          sendSuspects(m_suspectNews.takeNew(m_loop.now()));
                      })
     , m_loanTimer(loop, [this] {
+        watchStalls();
         m_loans.seek(m_loop.now());
         m_onTokens();
         m_loanTimer.start(Deadline::after(m_loop.now(), loanInterval));
@@ -83,6 +87,7 @@
                                          [raw = network.get()](const auto &sender, std::string_view bytes) {
                                              raw->receive(sender, bytes);
                                          }));
+    network->m_runningAt = loop.now();
     network->m_heartbeat.start(Deadline::after(loop.now(), heartbeatInterval));
     network->m_loanTimer.start(Deadline::after(loop.now(), loanInterval));
     return network;
@@ -187,13 +192,13 @@
     const std::vector<std::string> parts =
         reading.document.empty() ? std::vector<std::string>() : divideDocument(reading.document);
     if (parts.empty()) {
-        sendTo(m_own.place.region, datagram);
+        sendReading(datagram);
     }
     message.set_parts(static_cast<std::uint32_t>(parts.size()));
     for (std::size_t i = 0; i < parts.size(); ++i) {
         message.set_part(static_cast<std::uint32_t>(i));
         message.set_document_part(parts[i]);
-        sendTo(m_own.place.region, datagram);
+        sendReading(datagram);
     }
 }
 
@@ -217,7 +222,7 @@
     if (!reading) {
         return;
     }
-    reading->toldBy = sender.vm;
+    reading->toldBy = message.told_by().empty() ? sender.vm : VmId(message.told_by());
     if (message.parts() > 0) {
         std::optional<std::string> document =
             m_documentParts.add(reading->digest, message.part(), message.parts(), message.document_part());
@@ -275,6 +280,38 @@
     }
 }
 
+void PeerNetwork::sendReading(const peer::Datagram &datagram)
+{
+    if (!m_roster.isRegionLarge()) {
+        sendTo(m_own.place.region, datagram);
+        return;
+    }
+    for (const VmRecord &peer : m_roster.peersInZone()) {
+        send(peer, datagram);
+    }
+    peer::Datagram toPassOn = datagram;
+    toPassOn.set_is_to_pass_on(true);
+    for (const VmRecord &relay : m_roster.zoneRelays(m_loop.now())) {
+        send(relay, toPassOn);
+    }
+}
+
+void PeerNetwork::passOn(const VmRecord &sender, const peer::Datagram &datagram)
+{
+    if (!m_isCurrentAt.hasPassed(m_loop.now())) {
+        logEvent(PeerEvents::notPassedOn, { { "vm", sender.vm }, { "readings", datagram.readings_size() } });
+        return;
+    }
+    peer::Datagram passedOn;
+    *passedOn.mutable_readings() = datagram.readings();
+    for (peer::Reading &reading : *passedOn.mutable_readings()) {
+        reading.set_told_by(sender.vm.text());
+    }
+    for (const VmRecord &peer : m_roster.peersInZone()) {
+        send(peer, passedOn);
+    }
+}
+
 void PeerNetwork::spreadSuspect(const CrashSuspect &suspect)
 {
     m_suspectNews.add(suspect);
@@ -301,6 +338,7 @@
 
 void PeerNetwork::receive(const Poco::Net::SocketAddress &sender, std::string_view bytes)
 {
+    watchStalls();
     peer::Datagram datagram;
     if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         if (m_rejected++ == 0) {
@@ -318,6 +356,9 @@
         return;
     }
     const VmRecord peer = *record;
+    if (datagram.is_to_pass_on()) {
+        passOn(peer, datagram);
+    }
     if (datagram.has_presence()) {
         takePresence(peer, datagram);
     }
@@ -376,6 +417,15 @@
     }
 }
 
+void PeerNetwork::watchStalls()
+{
+    const TimePoint now = m_loop.now();
+    if (now - m_runningAt > longestStall) {
+        m_isCurrentAt = Deadline::after(now, timeToCatchUp);
+    }
+    m_runningAt = now;
+}
+
 void PeerNetwork::watchSilence()
 {
     const TimePoint now = m_loop.now();
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -92,8 +92,13 @@
     void takeReading(const VmRecord &sender, const peer::Reading &message);
     void takeTargets(const VmRecord &sender, const peer::Datagram &datagram);
     void sendTo(const RegionId &region, const peer::Datagram &datagram);
+    /// Sends what was read to all VMs of the own region: in a large one to a VM of each other availability zone, which
+    /// passes it on, since bytes between zones have a price.
+    void sendReading(const peer::Datagram &datagram);
+    void passOn(const VmRecord &sender, const peer::Datagram &datagram);
     void stateDemands();
     void watchSilence();
+    void watchStalls();
     void reportSilent(const std::vector<VmId> &vms);
     void sendSuspects(const std::vector<CrashSuspect> &suspects);
     peer::Datagram presence() const;
@@ -125,6 +130,8 @@
     std::set<VmId> m_known; ///< To which this VM has announced itself.
     std::set<VmId> m_serving; ///< As logged last.
     TimePoint m_watchedAt {};
+    TimePoint m_runningAt {}; ///< When the process last did something here; timers see to it many times a second.
+    Deadline m_isCurrentAt; ///< From when on datagrams are no longer those of a pause.
     Deadline m_hearsAllAt; ///< When a living VM has been heard again after a pause of this one.
     std::uint64_t m_rejected { 0 };
 };
--- a/Libraries/LibSteering/VmRoster.cpp
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -97,6 +97,15 @@
     return peers;
 }
 
+std::vector<VmRecord> VmRoster::peersInZone() const
+{
+    std::vector<VmRecord> peers = peersIn(m_ownPlace.region);
+    std::erase_if(peers, [this](const VmRecord &peer) {
+        return peer.place.availabilityZone != m_ownPlace.availabilityZone;
+    });
+    return peers;
+}
+
 std::vector<RegionId> VmRoster::regions() const
 {
     std::set<RegionId> regions;
@@ -228,6 +237,31 @@
     return head;
 }
 
+std::vector<VmRecord> VmRoster::zoneRelays(TimePoint now) const
+{
+    struct Best
+    {
+        double score { 0 };
+        const VmRecord *vm { nullptr };
+    };
+    const std::uint64_t key = stableHash("relay of " + m_own.text());
+    std::map<AvailabilityZoneId, Best> best;
+    for (const auto &[vm, entry] : m_entries) {
+        const double score = weightedRank(rendezvousRank(key, entry.hash), entry.record.processorShare);
+        const AvailabilityZoneId &zone = entry.record.place.availabilityZone;
+        if (zone != m_ownPlace.availabilityZone && isAvailable(vm, now) && score > best[zone].score) {
+            best[zone] = { score, &entry.record };
+        }
+    }
+    std::vector<VmRecord> relays;
+    for (const auto &[zone, relay] : best) {
+        if (relay.vm != nullptr) {
+            relays.push_back(*relay.vm);
+        }
+    }
+    return relays;
+}
+
 const VmRecord *VmRoster::find(const VmId &vm) const
 {
     const auto found = m_entries.find(vm);
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -77,6 +77,8 @@
     std::size_t count() const;
     /// All entered VMs of the region but this one.
     std::vector<VmRecord> peersIn(const RegionId &region) const;
+    /// All entered VMs of the own availability zone but this one.
+    std::vector<VmRecord> peersInZone() const;
     /// The regions of all entered VMs.
     std::vector<RegionId> regions() const;
     /// Whether the VM may be sent callers. Only VMs of the own region are known to be alive.
@@ -104,6 +106,10 @@
     /// Returns the VM of the own availability zone, this one included, that the others of the zone ask first for what
     /// they lack. Empty if no VM is known.
     VmId headOfZone(TimePoint now) const;
+    /// Returns a living VM for each other availability zone of the own region, through which this one tells the VMs
+    /// there what it has read. Two VMs that tell the same choose others, as far as there are any: one that has just
+    /// died costs a zone one of two messages.
+    std::vector<VmRecord> zoneRelays(TimePoint now) const;
     /// Whether the list of VMs was read.
     bool hasList() const
     {
--- /dev/null
+++ b/Tests/LibPeer/TestReadingSpread.cpp
@@ -0,0 +1,127 @@
+#include <LibPeer/PeerNetwork.h>
+
+#include <Harness/LoopbackSubnet.h>
+#include <LibCore/BootClock.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace Sapphire;
+
+namespace {
+
+constexpr int vmsPerZone = 4;
+constexpr Milliseconds startTime { 3'000 };
+
+/// One VM on the loop of the test.
+struct SpreadVm
+{
+    VmRecord record;
+    std::unique_ptr<VmRoster> roster;
+    std::unique_ptr<QuotaBook> quotas;
+    std::unique_ptr<PeerNetwork> network;
+    std::vector<Reading> heard;
+};
+
+/// The VMs of a region of two availability zones that counts as large.
+class LargeRegion
+{
+public:
+    LargeRegion()
+        : m_loop(std::move(capture([this] {
+                               return EventLoop::create(m_clock);
+                           }).value()))
+    {
+        std::vector<VmRecord> records;
+        for (int i = 0; i < 2 * vmsPerZone; ++i) {
+            VmRecord record;
+            record.vm = VmId("vm-" + std::to_string(i));
+            record.place = { RegionId("cuyo"), AvailabilityZoneId(i < vmsPerZone ? "cuyo-a" : "cuyo-b") };
+            record.peerAddress = m_subnet.address(10 + i) + ":7600";
+            record.startedAtMilliseconds = 1;
+            records.push_back(record);
+        }
+        VmRosterSettings settings;
+        settings.heartbeats = { 2, 1 };
+        m_vms.resize(records.size());
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            start(m_vms[i], records[i], settings);
+        }
+        for (SpreadVm &vm : m_vms) {
+            vm.network->applyRecords(records);
+        }
+        runUntil([this] {
+            return std::all_of(m_vms.begin(), m_vms.end(), [this](const SpreadVm &vm) {
+                return vm.roster->serving(m_loop->now()).size() == m_vms.size();
+            });
+        });
+    }
+
+    std::vector<SpreadVm> &vms()
+    {
+        return m_vms;
+    }
+    TimePoint now() const
+    {
+        return m_clock.now();
+    }
+    template<typename Condition>
+    bool runUntil(const Condition &condition)
+    {
+        const Deadline end = Deadline::after(m_clock.now(), startTime);
+        while (!condition() && !end.hasPassed(m_clock.now())) {
+            m_loop->runOnce(Deadline::after(m_clock.now(), Milliseconds(20)));
+        }
+        return condition();
+    }
+
+private:
+    void start(SpreadVm &vm, const VmRecord &record, const VmRosterSettings &settings)
+    {
+        vm.record = record;
+        vm.roster = std::make_unique<VmRoster>(record.vm, record.place, settings);
+        vm.quotas = std::make_unique<QuotaBook>(record.vm, QuotaSettings {});
+        vm.network = std::move(capture([&] {
+                                   return PeerNetwork::create(*m_loop, record, *vm.roster, *vm.quotas);
+                               }).value());
+        vm.network->onReading([&vm](const Reading &reading) {
+            vm.heard.push_back(reading);
+        });
+    }
+
+    BootClock m_clock;
+    LoopbackSubnet m_subnet;
+    std::unique_ptr<EventLoop> m_loop;
+    std::vector<SpreadVm> m_vms;
+};
+
+} // namespace
+
+TEST_CASE("All VMs of a large region hear a reading once, from its reader, though one VM alone was told in each zone")
+{
+    // Guards against VMs of another availability zone that hear nothing, take the relay for the reader, or pass it on
+    // without end.
+    LargeRegion region;
+    Reading reading;
+    reading.subject = ReadingSubject::Targets;
+    reading.digest = 7;
+    reading.readAt = region.now();
+    region.vms().front().network->tellReading(reading);
+    const auto haveHeard = [&region] {
+        return std::all_of(region.vms().begin() + 1, region.vms().end(), [](const SpreadVm &vm) {
+            return !vm.heard.empty();
+        });
+    };
+    CHECK(region.runUntil(haveHeard));
+    region.runUntil([] {
+        return false;
+    });
+    for (std::size_t i = 1; i < region.vms().size(); ++i) {
+        CAPTURE(i);
+        REQUIRE(region.vms()[i].heard.size() == 1);
+        CHECK(region.vms()[i].heard.front().toldBy == VmId("vm-0"));
+        CHECK(region.vms()[i].heard.front().digest == 7);
+    }
+}
--- a/Tests/LibSteering/TestVmRoster.cpp
+++ b/Tests/LibSteering/TestVmRoster.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 using namespace Sapphire;
@@ -196,3 +197,41 @@
     CHECK(roster.isServing(vm, later));
     CHECK(!roster.isServing(vm, later + Milliseconds(10'000)));
 }
+
+TEST_CASE("VmRoster names one living VM in each other availability zone of the region, and not the same to all tellers")
+{
+    // Guards against a message for each VM that crosses availability zones, and against a zone that hears nothing
+    // while the only VM that passes messages on is dead.
+    const auto inZone = [](const std::string &vm, const char *region, const char *zone) {
+        VmRecord result = record(vm.c_str(), region);
+        result.place.availabilityZone = AvailabilityZoneId(zone);
+        return result;
+    };
+    std::vector<VmRecord> records { inZone("far", "pampa", "pampa-a") };
+    for (int i = 0; i < 20; ++i) {
+        const std::string number = std::to_string(i);
+        records.push_back(inZone("a" + number, "cuyo", "cuyo-a"));
+        records.push_back(inZone("b" + number, "cuyo", "cuyo-b"));
+        records.push_back(inZone("c" + number, "cuyo", "cuyo-c"));
+    }
+    std::set<VmId> chosen;
+    for (int teller = 0; teller < 20; ++teller) {
+        const VmRecord own = inZone("a" + std::to_string(teller), "cuyo", "cuyo-a");
+        VmRoster roster(own.vm, own.place, {});
+        roster.applyRecords(records, start);
+        const TimePoint later = start + Milliseconds(2'000);
+        for (const VmRecord &vm : records) {
+            // The others in zone c are dead.
+            if (vm.place.availabilityZone != AvailabilityZoneId("cuyo-c") || vm.vm == VmId("c7")) {
+                roster.noteHeard(vm.vm, 1, {}, later);
+            }
+        }
+        CHECK(roster.peersInZone().size() == 19);
+        const std::vector<VmRecord> relays = roster.zoneRelays(later);
+        REQUIRE(relays.size() == 2);
+        CHECK(relays[0].place.availabilityZone == AvailabilityZoneId("cuyo-b"));
+        CHECK(relays[1].vm == VmId("c7"));
+        chosen.insert(relays[0].vm);
+    }
+    CHECK(chosen.size() >= 10);
+}
