--- /dev/null
+++ b/Utilities/SapphirePolicies/PolicySimulation.cpp
@@ -0,0 +1,312 @@
+#include <SapphirePolicies/PolicySimulation.h>
+
+#include <LibCore/Duration.h>
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace Sapphire {
+
+namespace {
+
+constexpr TimePoint startTime { Milliseconds(1'000'000) };
+constexpr Milliseconds waitCheck { 20 };
+constexpr int mostTries = 2;
+constexpr int mostReturns = 2;
+constexpr double leastWork = 0.2;
+constexpr double twoPi = 6.283185307179586;
+
+} // namespace
+
+PolicySimulation::PolicySimulation(const PolicyScenario &scenario, const ComparedPolicy &policy)
+    : m_scenario(scenario), m_policy(policy), m_random(scenario.seed), m_now(startTime)
+{
+    const auto targets = static_cast<std::size_t>(scenario.targets);
+    const auto vms = static_cast<std::size_t>(scenario.vms);
+    m_targets.assign(targets, PolicyTarget(scenario));
+    m_views.assign(vms, std::vector<View>(targets, View { TargetLoad(scenario.slots), WarmObjects() }));
+    m_waiting.resize(vms);
+    m_hasCheck.resize(vms);
+    m_outcome.askedByZone.resize(static_cast<std::size_t>(scenario.zones));
+    m_outcome.onTimeByZone.resize(static_cast<std::size_t>(scenario.zones));
+}
+
+void PolicySimulation::at(TimePoint time, std::function<void()> action)
+{
+    m_events.push({ time, m_sequence++, std::move(action) });
+}
+
+std::size_t PolicySimulation::zoneOf(std::size_t vm) const
+{
+    return vm % static_cast<std::size_t>(m_scenario.zones);
+}
+
+Microseconds PolicySimulation::roundTrip(std::size_t vm, std::size_t target) const
+{
+    return zoneOf(vm) == zoneOf(target) ? m_scenario.roundTripInZone : m_scenario.roundTripBetweenZones;
+}
+
+Microseconds PolicySimulation::drawWork(bool isWarm)
+{
+    const double normal = std::sqrt(-2 * std::log(1 - m_random.unit())) * std::cos(twoPi * m_random.unit());
+    const double factor = std::max(leastWork, 1 + m_scenario.workSpread * normal);
+    return scaled(m_scenario.work, factor * (isWarm ? m_scenario.warmPart : 1));
+}
+
+void PolicySimulation::scheduleArrivals()
+{
+    const double workSeconds = std::chrono::duration<double>(m_scenario.work).count();
+    const double perSecond = m_scenario.load * m_scenario.targets * m_scenario.slots / workSeconds;
+    const auto zones = static_cast<std::uint64_t>(m_scenario.zones);
+    const auto vmsPerZone = static_cast<std::uint64_t>(m_scenario.vms) / zones;
+    for (double seconds = 0; Microseconds(static_cast<std::int64_t>(seconds * 1e6)) < m_scenario.duration;) {
+        seconds += -std::log(1 - m_random.unit()) / perSecond;
+        const TimePoint time = startTime + Microseconds(static_cast<std::int64_t>(seconds * 1e6));
+        const std::uint64_t zone = m_random.unit() < m_scenario.firstZonePart ? 0 : m_random.below(zones);
+        const std::size_t vm = zone + zones * m_random.below(vmsPerZone);
+        const std::uint64_t object = m_random.below(m_scenario.objects);
+        at(time, [this, vm, object] {
+            ++m_outcome.asked;
+            ++m_outcome.askedByZone[zoneOf(vm)];
+            place(addRequest(vm, object, m_now, Deadline::after(m_now, m_scenario.callerDeadline), 0));
+        });
+    }
+}
+
+std::size_t PolicySimulation::addRequest(std::size_t vm, std::uint64_t object, TimePoint arrivedAt,
+                                         Deadline callerDeadline, int number)
+{
+    Request request;
+    request.vm = vm;
+    request.object = object;
+    request.number = number;
+    const Deadline giveUpAt = Deadline::after(arrivedAt, m_scenario.timeout).earlier(callerDeadline);
+    request.times = { arrivedAt, Deadline::after(arrivedAt, m_scenario.wanted), giveUpAt, callerDeadline,
+                      m_scenario.timeout };
+    const std::size_t index = m_requests.size();
+    m_requests.push_back(request);
+    at(giveUpAt.at(), [this, index] {
+        giveUp(index);
+    });
+    return index;
+}
+
+std::vector<PlacementOption> PolicySimulation::optionsOf(const Request &request) const
+{
+    std::vector<PlacementOption> options;
+    const std::uint64_t key = stableHash(std::to_string(request.object));
+    for (std::size_t target = 0; target < m_targets.size(); ++target) {
+        const View &view = m_views[request.vm][target];
+        const bool isWarm = view.warm.lastHandled(request.object) != TimePoint {};
+        PlacementOption option;
+        option.rank = rendezvousRank(key, stableHash("t" + std::to_string(target)));
+        option.load = view.load.expected(m_now);
+        option.slots = m_scenario.slots;
+        option.isShedding = view.load.isShedding(m_now);
+        option.roundTrip = roundTrip(request.vm, target);
+        option.work = scaled(m_scenario.work, isWarm ? m_scenario.warmPart : 1);
+        option.meanWork = scaled(m_scenario.work, m_scenario.warmPart);
+        options.push_back(option);
+    }
+    // The VMs agree on the usual target of an object, so that it may have handled the object for one of them.
+    const auto usual =
+        std::max_element(options.begin(), options.end(), [](const PlacementOption &left, const PlacementOption &right) {
+            return left.rank < right.rank;
+        });
+    usual->work = usual->meanWork;
+    return options;
+}
+
+void PolicySimulation::place(std::size_t number)
+{
+    Request &request = m_requests[number];
+    const std::vector<PlacementOption> options = optionsOf(request);
+    const std::optional<PlacementChoice> choice = m_policy.placement->choose(options);
+    if (!m_policy.isQueueing) {
+        choice ? send(number, choice->position) : refuse(number);
+        return;
+    }
+    const bool isHopeless =
+        RequestQueueing::isHopeless(request.times, scaled(m_scenario.work, m_scenario.warmPart), m_now);
+    if (isHopeless) {
+        refuse(number);
+        return;
+    }
+    if (choice) {
+        const AnswerForecast forecast { choice->time, choice->hasFreeSlot, true };
+        if (RequestQueueing::isBeyondReach(request.times, forecast, m_now)) {
+            refuse(number);
+            return;
+        }
+        if (RequestQueueing::maySend(request.times, forecast, m_now)) {
+            send(number, choice->position);
+            return;
+        }
+    }
+    m_waiting[request.vm].push_back(number);
+    scheduleCheck(request.vm);
+}
+
+void PolicySimulation::scheduleCheck(std::size_t vm)
+{
+    if (std::exchange(m_hasCheck[vm], 1) != 0) {
+        return;
+    }
+    at(m_now + waitCheck, [this, vm] {
+        m_hasCheck[vm] = 0;
+        serveWaiting(vm);
+    });
+}
+
+void PolicySimulation::serveWaiting(std::size_t vm)
+{
+    for (const std::size_t number : std::exchange(m_waiting[vm], {})) {
+        if (m_requests[number].state == State::AtVm) {
+            place(number);
+        }
+    }
+}
+
+void PolicySimulation::send(std::size_t number, std::size_t target)
+{
+    Request &request = m_requests[number];
+    request.state = State::AtTarget;
+    request.target = target;
+    request.isRunning = false;
+    ++request.tries;
+    m_views[request.vm][target].load.noteSent();
+    at(m_now + roundTrip(request.vm, target) / 2, [this, number] {
+        arrive(number);
+    });
+}
+
+void PolicySimulation::arrive(std::size_t number)
+{
+    if (m_requests[number].state != State::AtTarget) {
+        return;
+    }
+    switch (m_targets[m_requests[number].target].arrive(number)) {
+    case PolicyTarget::Arrival::Runs:
+        start(number);
+        break;
+    case PolicyTarget::Arrival::Waits:
+        break;
+    case PolicyTarget::Arrival::Shed:
+        ++m_outcome.sheds;
+        at(m_now + roundTrip(m_requests[number].vm, m_requests[number].target) / 2, [this, number] {
+            shed(number);
+        });
+        break;
+    }
+}
+
+void PolicySimulation::start(std::size_t number)
+{
+    Request &request = m_requests[number];
+    request.isRunning = true;
+    at(m_now + drawWork(m_targets[request.target].isWarm(request.object)), [this, number] {
+        finish(number);
+    });
+}
+
+void PolicySimulation::finish(std::size_t number)
+{
+    Request &request = m_requests[number];
+    if (!request.isRunning) {
+        return;
+    }
+    request.isRunning = false;
+    PolicyTarget &target = m_targets[request.target];
+    target.noteHandled(request.object, m_now);
+    if (const std::optional<std::size_t> next = target.release()) {
+        start(*next);
+    }
+    at(m_now + roundTrip(request.vm, request.target) / 2, [this, number, report = target.report()] {
+        answered(number, report);
+    });
+}
+
+void PolicySimulation::answered(std::size_t number, const LoadReport &report)
+{
+    Request &request = m_requests[number];
+    View &view = m_views[request.vm][request.target];
+    view.warm.note(request.object, m_now);
+    if (request.state == State::Ended) {
+        return;
+    }
+    request.state = State::Ended;
+    view.load.noteEnded(m_now);
+    view.load.noteReport(report, m_now);
+    const bool isOnTime = !request.times.wantedBy.hasPassed(m_now) && request.number == 0;
+    m_outcome.onTime += isOnTime ? 1 : 0;
+    m_outcome.late += isOnTime ? 0 : 1;
+    m_outcome.onTimeByZone[zoneOf(request.vm)] += isOnTime ? 1 : 0;
+    m_outcome.times.push_back(m_now - request.times.arrivedAt);
+    serveWaiting(request.vm);
+}
+
+void PolicySimulation::shed(std::size_t number)
+{
+    Request &request = m_requests[number];
+    if (request.state == State::Ended) {
+        return;
+    }
+    View &view = m_views[request.vm][request.target];
+    view.load.noteEnded(m_now);
+    view.load.noteShed(m_now);
+    request.state = State::AtVm;
+    request.tries < mostTries ? place(number) : refuse(number);
+}
+
+void PolicySimulation::refuse(std::size_t number)
+{
+    Request &request = m_requests[number];
+    request.state = State::Ended;
+    ++m_outcome.refusals;
+    const Deadline comesBackAt = RequestQueueing::retryAt(request.times, m_random.unit(), m_now);
+    if (request.number == mostReturns || request.times.callerDeadline.hasPassed(comesBackAt.at())) {
+        ++m_outcome.refused;
+        return;
+    }
+    at(comesBackAt.at(), [this, number] {
+        const Request again = m_requests[number];
+        place(addRequest(again.vm, again.object, m_now, again.times.callerDeadline, again.number + 1));
+    });
+}
+
+void PolicySimulation::giveUp(std::size_t number)
+{
+    Request &request = m_requests[number];
+    if (request.state == State::Ended) {
+        return;
+    }
+    if (request.state == State::AtTarget) {
+        PolicyTarget &target = m_targets[request.target];
+        m_views[request.vm][request.target].load.noteEnded(m_now);
+        const bool wasRunning = std::exchange(request.isRunning, false);
+        if (!target.cancelWaiting(number) && wasRunning) {
+            if (const std::optional<std::size_t> next = target.release()) {
+                start(*next);
+            }
+        }
+    }
+    request.state = State::Ended;
+    ++m_outcome.failed;
+}
+
+PolicyOutcome PolicySimulation::run()
+{
+    scheduleArrivals();
+    while (!m_events.empty()) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.action();
+    }
+    return m_outcome;
+}
+
+} // namespace Sapphire
--- /dev/null
+++ b/Utilities/SapphirePolicies/PolicyTarget.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibSteering/TargetLoad.h>
+#include <LibSteering/WarmObjects.h>
+#include <SapphirePolicies/PolicyScenario.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace Sapphire {
+
+/// A model of a target: slots, a queue, and the objects that it has at hand.
+class PolicyTarget
+{
+public:
+    explicit PolicyTarget(const PolicyScenario &scenario)
+        : m_slots(scenario.slots), m_queue(scenario.queue), m_warm(scenario.warmObjects)
+    {
+    }
+
+    enum class Arrival {
+        Runs,
+        Waits,
+        Shed,
+    };
+
+    Arrival arrive(std::size_t request)
+    {
+        if (m_running < m_slots) {
+            ++m_running;
+            return Arrival::Runs;
+        }
+        if (static_cast<int>(m_waiting.size()) >= m_queue) {
+            return Arrival::Shed;
+        }
+        m_waiting.push_back(request);
+        return Arrival::Waits;
+    }
+    /// Frees a slot. Returns the waiting request that takes it.
+    std::optional<std::size_t> release()
+    {
+        if (m_waiting.empty()) {
+            --m_running;
+            return std::nullopt;
+        }
+        const std::size_t next = m_waiting.front();
+        m_waiting.pop_front();
+        return next;
+    }
+    /// Takes a request out of the queue. Returns false if it does not wait there.
+    bool cancelWaiting(std::size_t request)
+    {
+        return std::erase(m_waiting, request) > 0;
+    }
+
+    bool isWarm(std::uint64_t object) const
+    {
+        return m_warm.lastHandled(object) != TimePoint {};
+    }
+    void noteHandled(std::uint64_t object, TimePoint now)
+    {
+        m_warm.note(object, now);
+    }
+    LoadReport report() const
+    {
+        return { m_running, static_cast<int>(m_waiting.size()), m_slots };
+    }
+
+private:
+    int m_slots;
+    int m_queue;
+    int m_running { 0 };
+    std::deque<std::size_t> m_waiting;
+    WarmObjects m_warm;
+};
+
+} // namespace Sapphire
