Tests: Say what the new tests wait for, and end connections that the VM announces to close

Cause: read as a newcomer, a limit of waiting was called start time, and a caller's connection that the VM had announced to close counted as used when it had been opened anew, which excuses a request without an answer. Change: names and comments; CallerConnection ends such a connection at once, so that the soak is stricter.

--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -95,9 +95,11 @@
     /// Sends what was read to all VMs of the own region: in a large one to a VM of each other availability zone, which
     /// passes it on, since bytes between zones have a price.
     void sendReading(const peer::Datagram &datagram);
+    /// Sends the readings of another VM's datagram to the other VMs of the own availability zone, under that VM's name.
     void passOn(const VmRecord &sender, const peer::Datagram &datagram);
     void stateDemands();
     void watchSilence();
+    /// Notices that the own process was paused.
     void watchStalls();
     void reportSilent(const std::vector<VmId> &vms);
     void sendSuspects(const std::vector<CrashSuspect> &suspects);
--- a/Tests/Entry/CallerConnection.cpp
+++ b/Tests/Entry/CallerConnection.cpp
@@ -71,6 +71,9 @@
     if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(received.size())) {
         throw Poco::Net::MessageException("the answer is shorter than announced");
     }
+    if (!response.getKeepAlive()) {
+        m_session.reset();
+    }
     record.status = response.getStatus();
     record.body = received;
     record.saidNotRun = response.has("X-Not-Executed");
--- a/Tests/LibPeer/TestReadingSpread.cpp
+++ b/Tests/LibPeer/TestReadingSpread.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr int vmsPerZone = 4;
-constexpr Milliseconds startTime { 3'000 };
+constexpr Milliseconds longestWait { 3'000 };
+// A reading that is passed on without end would arrive again within this time.
+constexpr Milliseconds timeOfRepeats { 1'000 };
 
 /// One VM on the loop of the test.
 struct SpreadVm
@@ -67,10 +69,11 @@
     {
         return m_clock.now();
     }
+    /// Runs the loop until the condition holds, and returns whether it does in the end.
     template<typename Condition>
-    bool runUntil(const Condition &condition)
+    bool runUntil(const Condition &condition, Milliseconds longest = longestWait)
     {
-        const Deadline end = Deadline::after(m_clock.now(), startTime);
+        const Deadline end = Deadline::after(m_clock.now(), longest);
         while (!condition() && !end.hasPassed(m_clock.now())) {
             m_loop->runOnce(Deadline::after(m_clock.now(), Milliseconds(20)));
         }
@@ -115,9 +118,11 @@
         });
     };
     CHECK(region.runUntil(haveHeard));
-    region.runUntil([] {
-        return false;
-    });
+    region.runUntil(
+        [] {
+            return false;
+        },
+        timeOfRepeats);
     for (std::size_t i = 1; i < region.vms().size(); ++i) {
         CAPTURE(i);
         REQUIRE(region.vms()[i].heard.size() == 1);
