SoakChecks: Format a comment

Cause: the comment added last was not formatted, and lint stopped at it. Change: clang-format. Result: clang-format finds nothing in all sources.

--- a/Tests/Soak/SoakChecks.h
+++ b/Tests/Soak/SoakChecks.h
@@ -31,8 +31,8 @@
     void checkRecovery();
 
     Span span(const CallerRecord &request) const;
-    /// Returns whether a fault of one of the scopes touched the span, or ended shortly before it. Of faults on single VMs
-    /// and their links, those on the given VM count; an empty one stands for all.
+    /// Returns whether a fault of one of the scopes touched the span, or ended shortly before it. Of faults on single
+    /// VMs and their links, those on the given VM count; an empty one stands for all.
     bool isHit(const std::string &vm, Span span, const std::set<SoakScope> &scopes,
                const std::set<SoakFaultKind> &excepted = {}) const;
     bool isAnyHit(Span span, const std::set<SoakScope> &scopes, const std::set<SoakFaultKind> &excepted = {}) const;
