LibPeer: Encode a datagram once for all its receivers

Cause: send() copied and encoded the datagram anew for each VM, a hundred times for a reading in a large region and 48 times for each heartbeat. Change: sendToAll() encodes it once; the bytes sent are the same. Result: TestLibPeer and TestEntry pass.

--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -124,10 +124,11 @@
 
 void PeerNetwork::sendHeartbeat()
 {
-    const peer::Datagram datagram = presence();
+    std::vector<VmRecord> receivers;
     for (const VmId &vm : m_roster.nextHeartbeatReceivers()) {
-        send(*m_roster.find(vm), datagram);
+        receivers.push_back(*m_roster.find(vm));
     }
+    sendToAll(receivers, presence());
 }
 
 void PeerNetwork::tellPresence()
@@ -161,11 +162,19 @@
 }
 
 void PeerNetwork::send(const VmRecord &peer, const peer::Datagram &datagram)
+{
+    sendToAll({ peer }, datagram);
+}
+
+void PeerNetwork::sendToAll(const std::vector<VmRecord> &peers, const peer::Datagram &datagram)
 {
     peer::Datagram signedDatagram = datagram;
     signedDatagram.set_vm(m_own.vm.text());
     signedDatagram.set_started(m_own.startedAtMilliseconds);
-    m_socket->send(Poco::Net::SocketAddress(peer.peerAddress), signedDatagram.SerializeAsString());
+    const std::string bytes = signedDatagram.SerializeAsString();
+    for (const VmRecord &peer : peers) {
+        m_socket->send(Poco::Net::SocketAddress(peer.peerAddress), bytes);
+    }
 }
 
 void PeerNetwork::setReadable(ReadingSubject list, bool isReadable)
@@ -275,9 +284,7 @@
 
 void PeerNetwork::sendTo(const RegionId &region, const peer::Datagram &datagram)
 {
-    for (const VmRecord &peer : m_roster.peersIn(region)) {
-        send(peer, datagram);
-    }
+    sendToAll(m_roster.peersIn(region), datagram);
 }
 
 void PeerNetwork::sendReading(const peer::Datagram &datagram)
@@ -286,14 +293,10 @@
         sendTo(m_own.place.region, datagram);
         return;
     }
-    for (const VmRecord &peer : m_roster.peersInZone()) {
-        send(peer, datagram);
-    }
+    sendToAll(m_roster.peersInZone(), datagram);
     peer::Datagram toPassOn = datagram;
     toPassOn.set_is_to_pass_on(true);
-    for (const VmRecord &relay : m_roster.zoneRelays(m_loop.now())) {
-        send(relay, toPassOn);
-    }
+    sendToAll(m_roster.zoneRelays(m_loop.now()), toPassOn);
 }
 
 void PeerNetwork::passOn(const VmRecord &sender, const peer::Datagram &datagram)
@@ -307,9 +310,7 @@
     for (peer::Reading &reading : *passedOn.mutable_readings()) {
         reading.set_told_by(sender.vm.text());
     }
-    for (const VmRecord &peer : m_roster.peersInZone()) {
-        send(peer, passedOn);
-    }
+    sendToAll(m_roster.peersInZone(), passedOn);
 }
 
 void PeerNetwork::spreadSuspect(const CrashSuspect &suspect)
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -105,6 +105,8 @@
     void sendSuspects(const std::vector<CrashSuspect> &suspects);
     peer::Datagram presence() const;
     void send(const VmRecord &peer, const peer::Datagram &datagram);
+    /// Encodes the datagram once for all of them.
+    void sendToAll(const std::vector<VmRecord> &peers, const peer::Datagram &datagram);
 
     EventLoop &m_loop;
     VmRecord m_own;
