LibSteering: Choose heads of zones and zone relays by the same function

Cause: zoneRelays() repeated the choice of headOfZone() with another key, and checked for a missing VM that cannot be missing. Change: highestByZone() ranks for both.

--- a/Libraries/LibSteering/VmRoster.cpp
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -221,42 +221,35 @@
     }
 }
 
-VmId VmRoster::headOfZone(TimePoint now) const
+std::map<AvailabilityZoneId, const VmRecord *> VmRoster::highestByZone(std::string_view purpose, TimePoint now) const
 {
-    const std::uint64_t key = stableHash("head of zone " + m_ownPlace.availabilityZone.text());
-    VmId head;
-    double best = 0;
+    const std::uint64_t key = stableHash(purpose);
+    std::map<AvailabilityZoneId, const VmRecord *> highest;
+    std::map<AvailabilityZoneId, double> scores;
     for (const auto &[vm, entry] : m_entries) {
-        const bool isInZone = entry.record.place.availabilityZone == m_ownPlace.availabilityZone;
         const double score = weightedRank(rendezvousRank(key, entry.hash), entry.record.processorShare);
-        if (isInZone && isAvailable(vm, now) && score > best) {
-            head = vm;
-            best = score;
+        const AvailabilityZoneId &zone = entry.record.place.availabilityZone;
+        if (isAvailable(vm, now) && score > scores[zone]) {
+            scores[zone] = score;
+            highest[zone] = &entry.record;
         }
     }
-    return head;
+    return highest;
+}
+
+VmId VmRoster::headOfZone(TimePoint now) const
+{
+    const auto highest = highestByZone("head of zone " + m_ownPlace.availabilityZone.text(), now);
+    const auto own = highest.find(m_ownPlace.availabilityZone);
+    return own == highest.end() ? VmId() : own->second->vm;
 }
 
 std::vector<VmRecord> VmRoster::zoneRelays(TimePoint now) const
 {
-    struct Best
-    {
-        double score { 0 };
-        const VmRecord *vm { nullptr };
-    };
-    const std::uint64_t key = stableHash("relay of " + m_own.text());
-    std::map<AvailabilityZoneId, Best> best;
-    for (const auto &[vm, entry] : m_entries) {
-        const double score = weightedRank(rendezvousRank(key, entry.hash), entry.record.processorShare);
-        const AvailabilityZoneId &zone = entry.record.place.availabilityZone;
-        if (zone != m_ownPlace.availabilityZone && isAvailable(vm, now) && score > best[zone].score) {
-            best[zone] = { score, &entry.record };
-        }
-    }
     std::vector<VmRecord> relays;
-    for (const auto &[zone, relay] : best) {
-        if (relay.vm != nullptr) {
-            relays.push_back(*relay.vm);
+    for (const auto &[zone, vm] : highestByZone("relay of " + m_own.text(), now)) {
+        if (zone != m_ownPlace.availabilityZone) {
+            relays.push_back(*vm);
         }
     }
     return relays;
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -143,6 +143,9 @@
     /// small one for seconds.
     using TellerScore = std::pair<double, std::uint64_t>;
     static TellerScore tellerScore(std::uint64_t key, const Entry &entry);
+    /// Returns the available VM with the highest rank for a purpose, weighted by processor share, in each availability
+    /// zone of the own region.
+    std::map<AvailabilityZoneId, const VmRecord *> highestByZone(std::string_view purpose, TimePoint now) const;
     void findNearestRegion();
     void planHeartbeats();
     /// Returns by how much longer a VM may be silent since this one does not hear each of its heartbeats.
