LibSteering: Erase the entries of gone routes in one place

Cause: ServiceSplit and WorkTimes held the same loop. Change: eraseGoneRoutes() beside ServingRules. Result: the tests of LibSteering pass unchanged.

--- a/Libraries/LibSteering/ServiceSplit.cpp
+++ b/Libraries/LibSteering/ServiceSplit.cpp
@@ -1,7 +1,5 @@
 #include <LibSteering/ServiceSplit.h>
 
-#include <unordered_set>
-
 namespace Sapphire {
 
 const ServiceId &ServiceSplit::choose(const Route &route)
@@ -28,13 +26,7 @@
 
 void ServiceSplit::retain(const ServingRules &rules)
 {
-    std::unordered_set<RouteId> present;
-    for (const Route &route : rules.routes()) {
-        present.insert(route.id);
-    }
-    std::erase_if(m_credits, [&present](const auto &entry) {
-        return !present.contains(entry.first);
-    });
+    eraseGoneRoutes(m_credits, rules);
 }
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/ServingRules.h
+++ b/Libraries/LibSteering/ServingRules.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Sapphire {
@@ -124,4 +125,17 @@
     std::unordered_map<ServiceId, std::size_t> m_servicesById;
 };
 
+/// Erases the entries of routes that the rules don't have any more.
+template<typename Value>
+void eraseGoneRoutes(std::unordered_map<RouteId, Value> &byRoute, const ServingRules &rules)
+{
+    std::unordered_set<RouteId> present;
+    for (const Route &route : rules.routes()) {
+        present.insert(route.id);
+    }
+    std::erase_if(byRoute, [&present](const auto &entry) {
+        return !present.contains(entry.first);
+    });
+}
+
 } // namespace Sapphire
--- a/Libraries/LibSteering/WorkTimes.cpp
+++ b/Libraries/LibSteering/WorkTimes.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Duration.h>
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace Sapphire {
 
@@ -93,13 +92,7 @@
 
 void WorkTimes::retain(const ServingRules &rules)
 {
-    std::unordered_set<RouteId> present;
-    for (const Route &route : rules.routes()) {
-        present.insert(route.id);
-    }
-    std::erase_if(m_times, [&present](const auto &entry) {
-        return !present.contains(entry.first);
-    });
+    eraseGoneRoutes(m_times, rules);
 }
 
 } // namespace Sapphire
