Harness: Let callers that keep connections use the tests' own HTTP client

Cause: CallerConnection spoke HTTP through POCO's session beside HttpCall, with its own check of short answers and none of cut chunked ones, which HttpAnswerReader finds; POCO also opens a new connection by itself, which then counted as used. SoakRun began and ended faults in two switches of the same cases. Change: HttpConnection carries HttpCall's exchange, for one request or several; CallerConnection and the callers that use a connection once share it. SoakRun::apply() begins and ends a fault.

--- a/Tests/Entry/CallerConnection.cpp
+++ b/Tests/Entry/CallerConnection.cpp
@@ -1,11 +1,6 @@
 #include <Entry/CallerConnection.h>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/String.h>
 
 namespace Sapphire {
 
@@ -13,8 +8,6 @@
 
 constexpr Milliseconds waitAfterDeadline { 1'000 };
 
-} // namespace
-
 HttpHeaders headersOf(const CallerRequestPlan &plan)
 {
     return { { "Host", "h.example" },
@@ -24,59 +17,43 @@
              { "Authorization", "Token " + plan.key } };
 }
 
-std::string bodyOf(const CallerRequestPlan &plan)
-{
-    return plan.method == "POST" ? "order " + plan.id : "";
-}
+} // namespace
 
-CallerConnection::CallerConnection(const std::string &address)
-    : m_address(address), m_session(Poco::Net::SocketAddress(address))
+CallerConnection::CallerConnection(const std::string &address) : m_address(address)
 {
-    m_session.setKeepAlive(true);
 }
 
 CallerRecord CallerConnection::send(const CallerRequestPlan &plan)
 {
     CallerRecord record { plan.id, plan.method, m_address, m_clock.now(), {}, 0, false, "", plan.key };
-    record.isOnUsedConnection = m_isUsed && m_session.connected();
-    try {
-        exchange(plan, record);
-    } catch (const Poco::Net::ConnectionRefusedException &) {
-        record.wasRefusedConnection = true;
-        m_session.reset();
-    } catch (const Poco::Exception &) {
-        record.status = 0;
-        m_session.reset();
-    }
+    record.isOnUsedConnection = m_connection != nullptr;
+    const Outcome<HttpAnswer> answer = capture([&] {
+        return exchange(plan);
+    });
     record.endedAt = m_clock.now();
+    const bool isKept =
+        answer && Poco::icompare(answer.value().header("Connection").value_or(""), std::string("close")) != 0;
+    if (!isKept) {
+        m_connection.reset();
+    }
+    if (answer) {
+        record.status = answer.value().status;
+        record.body = answer.value().body;
+        record.saidNotRun = answer.value().header("X-Not-Executed").has_value();
+    } else {
+        record.wasRefusedConnection = answer.error().verdict == Verdict::NotRun;
+    }
     return record;
 }
 
-void CallerConnection::exchange(const CallerRequestPlan &plan, CallerRecord &record)
+Result<HttpAnswer> CallerConnection::exchange(const CallerRequestPlan &plan)
 {
-    const Milliseconds wait = plan.deadline + waitAfterDeadline;
-    m_session.setTimeout(Poco::Timespan(std::chrono::duration_cast<Microseconds>(wait).count()));
-    Poco::Net::HTTPRequest request(plan.method, plan.path, Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setKeepAlive(true);
-    for (const auto &[name, value] : headersOf(plan)) {
-        request.set(name, value);
-    }
-    const std::string body = bodyOf(plan);
-    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    m_session.sendRequest(request) << body << std::flush;
-    m_isUsed = true;
-    Poco::Net::HTTPResponse response;
-    std::string received;
-    Poco::StreamCopier::copyToString(m_session.receiveResponse(response), received);
-    if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(received.size())) {
-        throw Poco::Net::MessageException("the answer is shorter than announced");
-    }
-    if (!response.getKeepAlive()) {
-        m_session.reset();
+    const Deadline deadline = Deadline::after(m_clock.now(), plan.deadline + waitAfterDeadline);
+    if (!m_connection) {
+        BOOST_LEAF_ASSIGN(m_connection, HttpConnection::create(Poco::Net::SocketAddress(m_address), deadline));
     }
-    record.status = response.getStatus();
-    record.body = received;
-    record.saidNotRun = response.has("X-Not-Executed");
+    const std::string body = plan.method == "POST" ? "order " + plan.id : "";
+    return m_connection->exchange(writeRequest(plan.method, plan.path, headersOf(plan), body), false, deadline);
 }
 
 } // namespace Sapphire
--- a/Tests/Entry/CallerConnection.h
+++ b/Tests/Entry/CallerConnection.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include <Entry/CallerRecord.h>
-#include <Harness/HttpCall.h>
+#include <Harness/HttpConnection.h>
 #include <LibCore/BootClock.h>
 
-#include <Poco/Net/HTTPClientSession.h>
-
 namespace Sapphire {
 
 /// A caller's connection to a VM, kept open as long as the VM keeps it.
@@ -19,17 +17,11 @@
     CallerRecord send(const CallerRequestPlan &plan);
 
 private:
-    void exchange(const CallerRequestPlan &plan, CallerRecord &record);
+    Result<HttpAnswer> exchange(const CallerRequestPlan &plan);
 
     BootClock m_clock;
     std::string m_address;
-    Poco::Net::HTTPClientSession m_session;
-    bool m_isUsed { false };
+    std::unique_ptr<HttpConnection> m_connection; ///< Null until the next request opens one.
 };
 
-/// Returns the headers of a request.
-HttpHeaders headersOf(const CallerRequestPlan &plan);
-/// Returns the request's body: bookings have one.
-std::string bodyOf(const CallerRequestPlan &plan);
-
 } // namespace Sapphire
--- a/Tests/Entry/EntryCallers.cpp
+++ b/Tests/Entry/EntryCallers.cpp
@@ -10,26 +10,6 @@
 constexpr Milliseconds lookUpTime { 500 };
 constexpr int objects = 12;
 
-CallerRecord sendOnce(const std::string &address, const CallerRequestPlan &plan)
-{
-    const BootClock clock;
-    CallerRecord record { plan.id, plan.method, address, clock.now(), {}, 0, false, "", plan.key };
-    const Outcome<HttpAnswer> answer = capture([&] {
-        return HttpCall { plan.method, "http://" + address + plan.path, headersOf(plan), bodyOf(plan),
-                          plan.deadline + Milliseconds(1'000) }
-            .run();
-    });
-    record.endedAt = clock.now();
-    if (answer) {
-        record.status = answer.value().status;
-        record.body = answer.value().body;
-        record.saidNotRun = answer.value().header("X-Not-Executed").has_value();
-    } else {
-        record.wasRefusedConnection = answer.error().verdict == Verdict::NotRun;
-    }
-    return record;
-}
-
 } // namespace
 
 EntryCallers::EntryCallers(EntryDeployment &deployment, const Settings &settings)
@@ -60,7 +40,7 @@
 CallerRecord EntryCallers::send(const std::string &address, const std::string &method, const std::string &path,
                                 const std::string &id, const std::string &key, Milliseconds deadline)
 {
-    return sendOnce(address, { method, path, id, key, deadline });
+    return CallerConnection(address).send({ method, path, id, key, deadline });
 }
 
 CallerRequestPlan EntryCallers::nextRequest(int caller, int number, RandomSource &random) const
@@ -93,7 +73,7 @@
             const std::string &address = addresses[random.below(addresses.size())];
             const CallerRecord record = m_settings.keepsConnections
                 ? connections.try_emplace(address, address).first->second.send(plan)
-                : sendOnce(address, plan);
+                : CallerConnection(address).send(plan);
             const std::lock_guard guard(m_mutex);
             m_records.push_back(record);
         }
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -57,8 +57,7 @@
     m_record.startedAt = m_clock.now();
     for (const Step &step : steps()) {
         std::this_thread::sleep_for(Deadline(m_record.startedAt + step.at).remaining(m_clock.now()));
-        const SoakFault &fault = m_record.faults[step.fault];
-        step.isEnd ? end(fault) : begin(fault);
+        apply(m_record.faults[step.fault], !step.isEnd);
     }
     m_record.faultsEndedAt = m_clock.now();
     std::this_thread::sleep_for(recoveryTime);
@@ -70,46 +69,24 @@
     return m_record;
 }
 
-void SoakRun::begin(const SoakFault &fault)
+void SoakRun::apply(const SoakFault &fault, bool isOn)
 {
     switch (typeOf(fault.kind).scope) {
     case SoakScope::Vm:
-        beginAtVm(fault);
+        isOn ? beginAtVm(fault) : endAtVm(fault);
         break;
     case SoakScope::Store:
-        setStoreFault(fault.kind);
+        isOn ? setStoreFault(fault.kind) : m_deployment.store().setFaults({});
         break;
     case SoakScope::Target:
-        setTargetFault(fault, true);
+        setTargetFault(fault, isOn);
         break;
     case SoakScope::StoreLink:
     case SoakScope::TargetLink:
-        setLinkFault(fault, true);
+        setLinkFault(fault, isOn);
         break;
     case SoakScope::Rules:
-        changeKey();
-        break;
-    }
-}
-
-void SoakRun::end(const SoakFault &fault)
-{
-    switch (typeOf(fault.kind).scope) {
-    case SoakScope::Vm:
-        endAtVm(fault);
-        break;
-    case SoakScope::Store:
-        m_deployment.store().setFaults({});
-        break;
-    case SoakScope::Target:
-        setTargetFault(fault, false);
-        break;
-    case SoakScope::StoreLink:
-    case SoakScope::TargetLink:
-        setLinkFault(fault, false);
-        break;
-    case SoakScope::Rules:
-        probeKeys();
+        isOn ? changeKey() : probeKeys();
         break;
     }
 }
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -27,8 +27,8 @@
     };
 
     std::vector<Step> steps() const;
-    void begin(const SoakFault &fault);
-    void end(const SoakFault &fault);
+    /// Begins or ends a fault.
+    void apply(const SoakFault &fault, bool isOn);
     void beginAtVm(const SoakFault &fault);
     void endAtVm(const SoakFault &fault);
     void setStoreFault(SoakFaultKind kind);
