LibSteering, LibGateway: Let retries and moves share a budget, and keep a forecast once

Cause: MoveBudget and ServiceRetryBudget counted requests and events in windows in the same way. RequestDispatcher's Choice held the time and the free slot of its forecast a second time. Four functions took arguments that they ignored. Change: RatioBudget is the window of both; MoveBudget goes, and its setting stands in the dispatcher. The copies and the arguments go.

--- a/Libraries/LibEntry/TargetListDuty.cpp
+++ b/Libraries/LibEntry/TargetListDuty.cpp
@@ -115,7 +115,7 @@
 
 void TargetListDuty::readFailed()
 {
-    m_grace.noteFailure(loop().now());
+    m_grace.noteFailure();
 }
 
 void TargetListDuty::seekHelp(std::size_t rank)
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -142,7 +142,7 @@
 void Gateway::divideRetryBudget()
 {
     // Until the list of VMs is known, this one claims nothing of what they share.
-    ServiceRetryBudgetSettings budget { 0, 0, m_settings.retryBudget.window };
+    RatioBudgetSettings budget { 0, 0, m_settings.retryBudget.window };
     if (!m_vms.isEmpty()) {
         budget.ratio = m_settings.retryBudget.ratio * usableRatio;
         budget.slack = m_settings.retryBudget.slack * usableSlack / static_cast<double>(m_vms.vmCount());
@@ -259,14 +259,14 @@
 
 void Gateway::noteTimeout(const GatewayRequest &request, RequestAttempt &attempt)
 {
-    m_dispatcher.noteTimeout(request, attempt);
+    m_dispatcher.noteTimeout(attempt);
     if (attempt.target().noteFailure(m_loop.now())) {
         logEvent(GatewayEvents::targetOut, { { "target", attempt.target().id() }, { "detail", "no answer in time" } });
     }
     m_dispatcher.capacityChanged(request.service());
 }
 
-void Gateway::noteRefused(const GatewayRequest &, const Refusal &refusal)
+void Gateway::noteRefused(const Refusal &refusal)
 {
     m_metrics.counter("sapphire_refusals_total", "reason=\"" + std::string(nameOf(refusal.reason)) + "\"").add();
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include <LibGateway/RequestDispatcher.h>
 #include <LibNet/HttpListener.h>
 #include <LibSteering/QuotaBook.h>
+#include <LibSteering/ServiceRetryBudget.h>
 #include <LibSteering/ServiceSplit.h>
 
 #include <memory>
@@ -92,7 +93,7 @@
     void noteAnswered(const GatewayRequest &request, RequestAttempt &attempt);
     void noteFailed(const GatewayRequest &request, RequestAttempt &attempt, const AttemptFailure &failure);
     void noteTimeout(const GatewayRequest &request, RequestAttempt &attempt);
-    void noteRefused(const GatewayRequest &request, const Refusal &refusal);
+    void noteRefused(const Refusal &refusal);
     void noteEnded(GatewayRequest &request);
 
 private:
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -410,7 +410,7 @@
 {
     const RefPointer<GatewayRequest> self(this);
     const Refusal refusal { reason, verdict, detail, retryAt, {} };
-    m_gateway.noteRefused(*this, refusal);
+    m_gateway.noteRefused(refusal);
     logRefusal(refusal);
     HttpServerConnection *const connection = m_connection;
     end();
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -4,7 +4,7 @@
 #include <LibGateway/WireNames.h>
 #include <LibSteering/ColdStartLimiter.h>
 #include <LibSteering/CustomerQuota.h>
-#include <LibSteering/ServiceRetryBudget.h>
+#include <LibSteering/RatioBudget.h>
 
 #include <map>
 #include <string>
@@ -20,7 +20,7 @@
     std::string callerAddress; ///< "ip:port" for requests.
     WireNames names;
     Milliseconds stopTimeout { 6'000 }; ///< From the signal to stop to the end of the process.
-    ServiceRetryBudgetSettings retryBudget; ///< Of all VMs together.
+    RatioBudgetSettings retryBudget { 0.2, 0, Milliseconds(10'000) }; ///< Of all VMs together.
     QuotaSettings quota;
     ColdStartSettings coldStart;
 };
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -212,7 +212,7 @@
     }
     m_isOver = true;
     m_holdTimer.stop();
-    m_target->load().noteEnded(m_loop.now());
+    m_target->load().noteEnded();
     if (m_load) {
         m_target->load().noteReport(*m_load, m_loop.now());
     }
--- a/Libraries/LibGateway/RequestDispatcher.cpp
+++ b/Libraries/LibGateway/RequestDispatcher.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t mostTriesOfTick = 16;
 constexpr Milliseconds shareInterval { 250 };
 constexpr Milliseconds demandMemory { 4'000 };
+// So many requests may leave the region that the shares gave them, for lack of room there. The shares follow a sudden
+// peak only slowly, and a region's requests must not all change their region at once.
+constexpr RatioBudgetSettings moveBudget { 0.05, 0, Milliseconds(2'000) };
 // How long a target keeps what it needs for an object depends on how many others it handles.
 constexpr Milliseconds recentTime { 5'000 };
 constexpr Milliseconds earlierTime { 60'000 };
@@ -48,7 +51,7 @@
 
 } // namespace
 
-RequestDispatcher::Service::Service(const RegionId &own) : shares(own, {}), moves({}), demand(demandMemory)
+RequestDispatcher::Service::Service(const RegionId &own) : shares(own, {}), moves(moveBudget), demand(demandMemory)
 {
 }
 
@@ -105,7 +108,7 @@
 
 AnswerForecast RequestDispatcher::forecastOf(const GatewayRequest &request, const Choice &choice) const
 {
-    return { choice.time, choice.hasFreeSlot, m_workTimes.isKnown(request.route()) };
+    return { choice.forecast.time, choice.forecast.hasFreeSlot, m_workTimes.isKnown(request.route()) };
 }
 
 bool RequestDispatcher::maySend(const GatewayRequest &request, const Choice &choice) const
@@ -117,7 +120,7 @@
 {
     const TimePoint now = m_loop.now();
     if (choice.isMove) {
-        serviceOf(request.service()).moves.noteMove(now);
+        serviceOf(request.service()).moves.noteEvent(now);
     }
     if (choice.target->isCold(now)) {
         choice.target->coldLimiter().noteSent(now);
@@ -164,11 +167,11 @@
     others.erase(others.begin(), end);
     const bool isGood =
         choice.target && RequestQueueing::isOnTime(request.times(), forecastOf(request, choice), m_loop.now());
-    if (isGood || others.empty() || !service.moves.mayMove(m_loop.now())) {
+    if (isGood || others.empty() || !service.moves.isAllowed(m_loop.now())) {
         return choice;
     }
     Choice other = chooseIn(request, others);
-    if (other.target && (!choice.target || other.time < choice.time)) {
+    if (other.target && (!choice.target || other.forecast.time < choice.forecast.time)) {
         other.isMove = true;
         return other;
     }
@@ -183,8 +186,6 @@
     if (chosen) {
         const PlacementOption &option = found.options[chosen->position];
         choice.target = found.targets[chosen->position];
-        choice.time = chosen->time;
-        choice.hasFreeSlot = chosen->hasFreeSlot;
         choice.forecast.warmth = found.warmth[chosen->position];
         choice.forecast.isCold = option.isCold;
         choice.forecast.hasFreeSlot = chosen->hasFreeSlot;
@@ -396,7 +397,7 @@
     target.quality().noteAnswer(time, usual, m_loop.now());
 }
 
-void RequestDispatcher::noteTimeout(const GatewayRequest &, RequestAttempt &attempt)
+void RequestDispatcher::noteTimeout(RequestAttempt &attempt)
 {
     const TimePoint now = m_loop.now();
     attempt.target().quality().noteTimeout(now - attempt.startedAt(), attempt.forecast().time, now);
--- a/Libraries/LibGateway/RequestDispatcher.h
+++ b/Libraries/LibGateway/RequestDispatcher.h
@@ -5,8 +5,8 @@
 #include <LibGateway/RegionDemand.h>
 #include <LibGateway/TargetBook.h>
 #include <LibSteering/DemandMeter.h>
-#include <LibSteering/MoveBudget.h>
 #include <LibSteering/Placement.h>
+#include <LibSteering/RatioBudget.h>
 #include <LibSteering/RegionShares.h>
 #include <LibSteering/RequestQueueing.h>
 #include <LibSteering/Warmth.h>
@@ -38,7 +38,7 @@
     /// Learns from an answer.
     void noteAnswer(const GatewayRequest &request, RequestAttempt &attempt);
     /// Learns from an attempt that brought no answer in time.
-    void noteTimeout(const GatewayRequest &request, RequestAttempt &attempt);
+    void noteTimeout(RequestAttempt &attempt);
     /// When a refused caller may come back with the best prospect.
     Deadline retryTime(const GatewayRequest &request);
     /// The requests of this VM's callers for each service, in busy slots.
@@ -56,7 +56,7 @@
         Queue waiting; ///< The most urgent request is first.
         std::size_t nextTry { 0 }; ///< Position in the queue from which the next round begins.
         RegionShares shares;
-        MoveBudget moves;
+        RatioBudget moves; ///< To other regions than the shares gave.
         DemandMeter demand;
     };
 
@@ -74,8 +74,6 @@
     {
         RefPointer<GatewayTarget> target;
         AttemptForecast forecast;
-        Microseconds time {}; ///< Until the answer.
-        bool hasFreeSlot { false };
         bool isMove { false }; ///< The target is outside the region that the shares gave.
     };
 
--- a/Libraries/LibSteering/AbsenceGrace.cpp
+++ b/Libraries/LibSteering/AbsenceGrace.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-void AbsenceGrace::noteFailure(TimePoint)
+void AbsenceGrace::noteFailure()
 {
     m_isLost = true;
 }
--- a/Libraries/LibSteering/AbsenceGrace.h
+++ b/Libraries/LibSteering/AbsenceGrace.h
@@ -10,7 +10,7 @@
 {
 public:
     /// The list could not be read.
-    void noteFailure(TimePoint now);
+    void noteFailure();
     /// The list was read.
     void noteSuccess(TimePoint now);
     /// Whether missing targets are gone.
--- a/Libraries/LibSteering/ServiceRetryBudget.cpp
+++ b/Libraries/LibSteering/ServiceRetryBudget.cpp
@@ -2,24 +2,32 @@
 
 namespace Sapphire {
 
+void ServiceRetryBudget::configure(RatioBudgetSettings settings)
+{
+    m_settings = settings;
+    for (auto &[service, budget] : m_budgets) {
+        budget.configure(settings);
+    }
+}
+
+RatioBudget &ServiceRetryBudget::budgetOf(const ServiceId &service)
+{
+    return m_budgets.try_emplace(service, m_settings).first->second;
+}
+
 void ServiceRetryBudget::noteRequest(const ServiceId &service, TimePoint now)
 {
-    EventWindow &requests = m_windows[service].requests;
-    requests.advance(now - m_settings.window);
-    requests.note(now);
+    budgetOf(service).noteRequest(now);
 }
 
 bool ServiceRetryBudget::mayRetry(const ServiceId &service, TimePoint now)
 {
-    const TimePoint begin = now - m_settings.window;
-    Window &window = m_windows[service];
-    const double allowed = m_settings.ratio * static_cast<double>(window.requests.advance(begin)) + m_settings.slack;
-    return static_cast<double>(window.retries.advance(begin) + 1) <= allowed;
+    return budgetOf(service).isAllowed(now);
 }
 
 void ServiceRetryBudget::noteRetry(const ServiceId &service, TimePoint now)
 {
-    m_windows[service].retries.note(now);
+    budgetOf(service).noteEvent(now);
 }
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/ServiceRetryBudget.h
+++ b/Libraries/LibSteering/ServiceRetryBudget.h
@@ -1,32 +1,22 @@
 #pragma once
 
 #include <LibCore/Ids.h>
-#include <LibSteering/EventWindow.h>
+#include <LibSteering/RatioBudget.h>
 
 #include <unordered_map>
 
 namespace Sapphire {
 
-struct ServiceRetryBudgetSettings
-{
-    double ratio { 0.2 }; ///< Retries for each request.
-    double slack { 0 }; ///< Retries in a window beyond that.
-    Milliseconds window { 10'000 };
-};
-
 /// Limits the retries of this VM to a service in any window, so that retries can't multiply an overload. The ratio
 /// holds for each VM by itself and so for all together; the slack is this VM's part of what the operator allows.
 class ServiceRetryBudget
 {
 public:
-    explicit ServiceRetryBudget(ServiceRetryBudgetSettings settings) : m_settings(settings)
+    explicit ServiceRetryBudget(RatioBudgetSettings settings) : m_settings(settings)
     {
     }
 
-    void configure(ServiceRetryBudgetSettings settings)
-    {
-        m_settings = settings;
-    }
+    void configure(RatioBudgetSettings settings);
     /// Accounts for a caller's request to the service.
     void noteRequest(const ServiceId &service, TimePoint now);
     /// Returns whether a retry may be made now.
@@ -35,14 +25,10 @@
     void noteRetry(const ServiceId &service, TimePoint now);
 
 private:
-    struct Window
-    {
-        EventWindow requests;
-        EventWindow retries;
-    };
+    RatioBudget &budgetOf(const ServiceId &service);
 
-    ServiceRetryBudgetSettings m_settings;
-    std::unordered_map<ServiceId, Window> m_windows;
+    RatioBudgetSettings m_settings;
+    std::unordered_map<ServiceId, RatioBudget> m_budgets;
 };
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/TargetLoad.cpp
+++ b/Libraries/LibSteering/TargetLoad.cpp
@@ -20,7 +20,7 @@
     ++m_inFlight;
 }
 
-void TargetLoad::noteEnded(TimePoint)
+void TargetLoad::noteEnded()
 {
     m_inFlight = std::max(0, m_inFlight - 1);
 }
--- a/Libraries/LibSteering/TargetLoad.h
+++ b/Libraries/LibSteering/TargetLoad.h
@@ -36,7 +36,7 @@
     }
 
     void noteSent();
-    void noteEnded(TimePoint now);
+    void noteEnded();
     /// Takes the report of an answer, after noteEnded() for the request that was answered.
     void noteReport(const LoadReport &report, TimePoint now);
     /// The target has turned a request away because it is full.
--- a/Tests/LibSteering/TestRegionShares.cpp
+++ b/Tests/LibSteering/TestRegionShares.cpp
@@ -1,5 +1,5 @@
 #include <LibCore/RandomSource.h>
-#include <LibSteering/MoveBudget.h>
+#include <LibSteering/RatioBudget.h>
 #include <LibSteering/RegionShares.h>
 
 #include <doctest/doctest.h>
@@ -135,17 +135,17 @@
               .isEmpty());
 }
 
-TEST_CASE("MoveBudget lets a small part of the requests leave in any window")
+TEST_CASE("RatioBudget lets a small part of the requests leave their region in any window")
 {
     // Guards against a peak that makes a region's requests change their region at once.
-    MoveBudget budget({ 0.05, Milliseconds(2'000) });
+    RatioBudget budget({ 0.05, 0, Milliseconds(2'000) });
     int moves = 0;
     TimePoint now = start;
     for (int i = 0; i < 1'000; ++i) {
         now += Milliseconds(10);
         budget.noteRequest(now);
-        if (budget.mayMove(now)) {
-            budget.noteMove(now);
+        if (budget.isAllowed(now)) {
+            budget.noteEvent(now);
             ++moves;
         }
     }
--- a/Tests/LibSteering/TestSharedReading.cpp
+++ b/Tests/LibSteering/TestSharedReading.cpp
@@ -149,7 +149,7 @@
     // Guards against living targets whose entries lapsed with the platform's store.
     AbsenceGrace grace;
     CHECK(grace.isOver(start));
-    grace.noteFailure(start);
+    grace.noteFailure();
     CHECK(!grace.isOver(start + Milliseconds(60'000)));
     grace.noteSuccess(start + Milliseconds(60'000));
     CHECK(!grace.isOver(start + Milliseconds(61'000)));
--- a/Tests/LibSteering/TestTargetList.cpp
+++ b/Tests/LibSteering/TestTargetList.cpp
@@ -34,7 +34,7 @@
 AbsenceGrace graceAfterLoss()
 {
     AbsenceGrace grace;
-    grace.noteFailure(start);
+    grace.noteFailure();
     grace.noteSuccess(start);
     return grace;
 }
--- a/Tests/LibSteering/TestTargetLoad.cpp
+++ b/Tests/LibSteering/TestTargetLoad.cpp
@@ -17,7 +17,7 @@
     load.noteSent();
     load.noteSent();
     CHECK(load.expected(start) == doctest::Approx(2));
-    load.noteEnded(start);
+    load.noteEnded();
     load.noteReport({ 8, 1, 9 }, start);
     CHECK(load.inFlight() == 1);
     CHECK(load.expected(start) == doctest::Approx(9));
--- a/Utilities/SapphirePolicies/PolicySimulation.cpp
+++ b/Utilities/SapphirePolicies/PolicySimulation.cpp
@@ -238,7 +238,7 @@
         return;
     }
     request.state = State::Ended;
-    view.load.noteEnded(m_now);
+    view.load.noteEnded();
     view.load.noteReport(report, m_now);
     const bool isOnTime = !request.times.wantedBy.hasPassed(m_now) && request.number == 0;
     m_outcome.onTime += isOnTime ? 1 : 0;
@@ -255,7 +255,7 @@
         return;
     }
     View &view = m_views[request.vm][request.target];
-    view.load.noteEnded(m_now);
+    view.load.noteEnded();
     view.load.noteShed(m_now);
     request.state = State::AtVm;
     request.tries < mostTries ? place(number) : refuse(number);
@@ -285,7 +285,7 @@
     }
     if (request.state == State::AtTarget) {
         PolicyTarget &target = m_targets[request.target];
-        m_views[request.vm][request.target].load.noteEnded(m_now);
+        m_views[request.vm][request.target].load.noteEnded();
         const bool wasRunning = std::exchange(request.isRunning, false);
         if (!target.cancelWaiting(number) && wasRunning) {
             if (const std::optional<std::size_t> next = target.release()) {
