--- a/Tests/Integration/IntegrationFixture.h
+++ b/Tests/Integration/IntegrationFixture.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Sapphire {
 
@@ -61,6 +62,19 @@
     });
 }
 
+/// Returns the VMs that the answer to a look-up names, those to use first and then the alternatives.
+inline std::vector<std::string> vmsOfLookUp(const HttpAnswer &answer)
+{
+    std::vector<std::string> vms;
+    const auto object = parseObject(answer.body);
+    for (const char *list : { "vms", "alternatives" }) {
+        for (const auto &entry : *object->getArray(list)) {
+            vms.push_back(entry.extract<Poco::JSON::Object::Ptr>()->getValue<std::string>("vm"));
+        }
+    }
+    return vms;
+}
+
 inline std::string reasonOf(const Outcome<HttpAnswer> &answer)
 {
     return answer ? answer.value().header("Sapphire-Reason").value_or("") : "error: " + answer.error().message;
--- a/Tests/Integration/TestPlannedWork.cpp
+++ b/Tests/Integration/TestPlannedWork.cpp
@@ -176,14 +176,7 @@
         for (const std::string &vm : vms) {
             const auto answer = request(m_deployment, vm, customer, "GET", "/v1/lookup?service=status");
             if (answer && answer.value().status == 200) {
-                std::vector<std::string> found;
-                const auto object = parseObject(answer.value().body);
-                for (const char *list : { "vms", "alternatives" }) {
-                    for (const auto &entry : *object->getArray(list)) {
-                        found.push_back(entry.extract<Poco::JSON::Object::Ptr>()->getValue<std::string>("vm"));
-                    }
-                }
-                return found;
+                return vmsOfLookUp(answer.value());
             }
         }
         const std::lock_guard guard(m_mutex);
--- a/Tests/Upgrade/ReleasePrograms.h
+++ b/Tests/Upgrade/ReleasePrograms.h
@@ -5,19 +5,24 @@
 
 namespace Sapphire {
 
-/// Returns the path of a program of the older release, in the folder that SAPPHIRE_OLD_PROGRAMS names. Without that
-/// variable it is the program of this build, and an upgrade is a plain replacement.
-inline std::string oldProgram(const std::string &name)
+/// Returns the path of a program in the folder that an environment variable names. Without the variable it is the
+/// program of this build.
+inline std::string programOf(const char *variable, const std::string &name)
 {
-    const char *const folder = std::getenv("SAPPHIRE_OLD_PROGRAMS");
+    const char *const folder = std::getenv(variable);
     return folder == nullptr ? name : std::string(folder) + "/" + name;
 }
 
-/// Returns the program of the newer release: that of this build, unless SAPPHIRE_NEW_PROGRAMS names another folder.
+/// Returns a program of the older release. By default that is this build, and an upgrade is a plain replacement.
+inline std::string oldProgram(const std::string &name)
+{
+    return programOf("SAPPHIRE_OLD_PROGRAMS", name);
+}
+
+/// Returns a program of the newer release.
 inline std::string newProgram(const std::string &name)
 {
-    const char *const folder = std::getenv("SAPPHIRE_NEW_PROGRAMS");
-    return folder == nullptr ? name : std::string(folder) + "/" + name;
+    return programOf("SAPPHIRE_NEW_PROGRAMS", name);
 }
 
 } // namespace Sapphire
--- a/Tests/Upgrade/UpgradeCallers.h
+++ b/Tests/Upgrade/UpgradeCallers.h
@@ -85,17 +85,9 @@
     {
         for (const std::string &vm : vms) {
             const auto answer = request(m_deployment, vm, m_customer, "GET", "/v1/lookup?service=status");
-            if (!answer || answer.value().status != 200) {
-                continue;
+            if (answer && answer.value().status == 200) {
+                return vmsOfLookUp(answer.value());
             }
-            std::vector<std::string> found;
-            const auto object = parseObject(answer.value().body);
-            for (const char *list : { "vms", "alternatives" }) {
-                for (const auto &entry : *object->getArray(list)) {
-                    found.push_back(entry.extract<Poco::JSON::Object::Ptr>()->getValue<std::string>("vm"));
-                }
-            }
-            return found;
         }
         const std::lock_guard guard(m_mutex);
         m_requests.push_back({ m_customer, "", vms.front(), 0, "no VM answered a look-up", "" });
