LibGateway, LibNet: Tell repeated and endless answers of targets apart

Cause: operators of similar systems reported refusals that a target wrote once more on a kept connection. An answer with another id was dropped already, but one without any id was taken for the answer to the current request. A repeated refusal without an id had a booking refused as not run while a target ran it (test: status 503, seen before the change), or sent it to a second target; a repeated answer without an id reached the next caller. Change: on a connection that was used before, an answer must name the request; a connection whose answer names none isn't used again. An endless answer to a booking whose caller has left ends with the route's time. The loop reads at most 64 KiB from a connection before others have their turn. Ruled out: copies that arrive while the connection is idle (it is closed then), heads and chunk extensions without end (bounded by the parser).

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -361,7 +361,11 @@
 {
     const RefPointer<GatewayRequest> self(this);
     if (m_state == State::Answering) {
-        // The answer is on its way; the caller decides how long to read it.
+        // The answer is on its way, and the caller decides how long to read it. If the caller has left, nobody does.
+        if (m_isCallerGone) {
+            m_attempt->abandon();
+            end();
+        }
         return;
     }
     if (m_state == State::AwaitingQuota || m_state == State::ReadingBody || m_state == State::Waiting) {
--- a/Libraries/LibGateway/HealthChecker.cpp
+++ b/Libraries/LibGateway/HealthChecker.cpp
@@ -13,6 +13,8 @@
 constexpr Milliseconds longestCheck { 1'000 };
 // A target without a free slot is checked again after this time.
 constexpr Milliseconds fullPause { 200 };
+// Health answers are small; a target that sends a larger one is faulty.
+constexpr std::size_t mostAnswerBytes = 65'536;
 constexpr int statusOk = 200;
 
 } // namespace
@@ -54,8 +56,12 @@
     {
         m_head = head;
     }
-    void answerBody(std::string_view) override
+    void answerBody(std::string_view bytes) override
     {
+        m_bodyBytes += bytes.size();
+        if (m_bodyBytes > mostAnswerBytes) {
+            fail();
+        }
     }
     void answerFinished() override
     {
@@ -91,6 +97,7 @@
     RefPointer<TargetSession> m_session;
     Timer m_timer;
     HttpHead m_head;
+    std::size_t m_bodyBytes { 0 };
 };
 
 HealthChecker::HealthChecker(EventLoop &loop, const WireNames &names, TargetRegistry &targets,
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -115,9 +115,7 @@
     if (const std::optional<std::string_view> load = head.header(m_names.load)) {
         m_load = readLoad(*load);
     }
-    if (!isNotRun()) {
-        m_holdTimer.start(Deadline::after(m_loop.now(), longestHold));
-    }
+    m_holdTimer.start(Deadline::after(m_loop.now(), longestHold));
 }
 
 void RequestAttempt::answerBody(std::string_view bytes)
@@ -143,9 +141,7 @@
         m_target->release(m_session);
     }
     if (isNotRun()) {
-        const bool isMisdirected = m_answer.status == statusMisdirected;
-        fail(isMisdirected ? AttemptFailure::Kind::WrongTarget : AttemptFailure::Kind::Shed, Verdict::NotRun,
-             "status " + std::to_string(m_answer.status));
+        failAsNotRun();
         return;
     }
     end();
@@ -159,7 +155,13 @@
 {
     const RefPointer<RequestAttempt> self(this);
     m_holdTimer.stop();
-    if (m_isAnswerDelivered || isNotRun()) {
+    if (m_isAnswerDelivered) {
+        return;
+    }
+    if (isNotRun()) {
+        // The rest of its body matters to nobody and may never end.
+        m_session->abandon();
+        failAsNotRun();
         return;
     }
     if (!hasSeal()) {
@@ -195,6 +197,13 @@
     m_owner.attemptDrained(*this);
 }
 
+void RequestAttempt::failAsNotRun()
+{
+    const bool isMisdirected = m_answer.status == statusMisdirected;
+    fail(isMisdirected ? AttemptFailure::Kind::WrongTarget : AttemptFailure::Kind::Shed, Verdict::NotRun,
+         "status " + std::to_string(m_answer.status));
+}
+
 bool RequestAttempt::isNotRun() const
 {
     return m_answer.status == statusMisdirected || m_answer.header(m_names.notRun).has_value();
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -135,6 +135,8 @@
     bool hasSeal() const;
     void deliverAnswer();
     void end();
+    /// The target says that it has not run the request.
+    void failAsNotRun();
     void fail(AttemptFailure::Kind kind, Verdict verdict, std::string detail);
 
     EventLoop &m_loop;
--- a/Libraries/LibGateway/TargetSession.cpp
+++ b/Libraries/LibGateway/TargetSession.cpp
@@ -10,6 +10,8 @@
 constexpr LivenessSettings targetLiveness { Milliseconds(1'000), std::chrono::seconds(1) };
 // Heads of answers are small; a target that sends a larger one is faulty.
 constexpr std::size_t mostAnswerHeadBytes = 65'536;
+// How much of informational answers and of answers to earlier requests is read before the answer to the current one.
+constexpr std::size_t mostDroppedBytes = 262'144;
 // More than three round trips between regions (110 ms).
 constexpr Milliseconds connectTime { 400 };
 constexpr int firstFinalStatus = 200;
@@ -76,6 +78,7 @@
     m_isReusable = false;
     m_isHeadDelivered = false;
     m_isDropping = false;
+    m_droppedBytes = 0;
     ++m_exchanges;
     m_parser.begin(isHead);
     m_stream->send(bytes);
@@ -142,6 +145,11 @@
         if (m_parser.isHeadComplete() && !m_isHeadDelivered) {
             deliverHead();
         }
+        m_droppedBytes += m_isDropping ? taken.value() : 0;
+        if (m_droppedBytes > mostDroppedBytes) {
+            failExchange(SessionFailure::Malformed, "too many bytes before the answer");
+            return;
+        }
         const std::string body = m_parser.takeBody();
         if (m_listener != nullptr && !m_isDropping && !body.empty()) {
             m_listener->answerBody(body);
@@ -169,8 +177,18 @@
 
 bool TargetSession::isForeignAnswer() const
 {
+    if (m_requestId.empty()) {
+        return false;
+    }
     const std::optional<std::string_view> id = m_parser.head().header(m_names.requestId);
-    return !m_requestId.empty() && id && *id != m_requestId;
+    // Without an id, only the first answer on a connection is certain to belong to the request: a later one may be a
+    // late copy of an earlier answer, even of a refusal that says that its request has not run.
+    return id ? *id != m_requestId : isReused();
+}
+
+bool TargetSession::namesRequest() const
+{
+    return m_requestId.empty() || m_parser.head().header(m_names.requestId).has_value();
 }
 
 void TargetSession::messageComplete()
@@ -184,8 +202,9 @@
     }
     const std::optional<std::chrono::seconds> idleTime = statedIdleTime(m_parser.head());
     m_idleEnd = idleTime ? Deadline::after(m_loop.now(), *idleTime) : Deadline::never();
-    // A connection on which answers to earlier requests arrived is not used again.
-    finish(m_parser.head().keepsConnection && !m_hasDropped && m_stream->pendingOutput() == 0);
+    // A connection on which answers to earlier requests arrived, or can't be recognized, is not used again.
+    const bool isTrusted = !m_hasDropped && namesRequest();
+    finish(m_parser.head().keepsConnection && isTrusted && m_stream->pendingOutput() == 0);
 }
 
 void TargetSession::finish(bool isReusable)
--- a/Libraries/LibGateway/TargetSession.h
+++ b/Libraries/LibGateway/TargetSession.h
@@ -43,8 +43,9 @@
 
     ~TargetSession() override;
 
-    /// Sends the beginning of a request. The target echoes the id; answers with another one belong to earlier requests
-    /// and are dropped. With an empty id any answer is accepted.
+    /// Sends the beginning of a request. The target echoes the id; answers with another one, or with none on a
+    /// connection that was used before, belong to earlier requests and are dropped. With an empty id any answer is
+    /// accepted.
     void begin(TargetSessionListener &listener, std::string_view bytes, std::string requestId, bool isHead);
     void sendMore(std::string_view bytes);
     std::size_t pendingOutput() const
@@ -99,6 +100,8 @@
     void feed(std::string_view bytes);
     void deliverHead();
     bool isForeignAnswer() const;
+    /// Whether the answer says to which request it belongs, as far as the request had an id.
+    bool namesRequest() const;
     void messageComplete();
     void finish(bool isReusable);
     void connectTimeout();
@@ -120,6 +123,7 @@
     bool m_isHeadDelivered { false };
     bool m_isDropping { false }; ///< The answer being read belongs to an earlier request.
     bool m_hasDropped { false };
+    std::size_t m_droppedBytes { 0 }; ///< Received during the current exchange and not part of its answer.
     int m_exchanges { 0 };
     TimePoint m_idleSince {};
     Deadline m_idleEnd { Deadline::never() };
--- a/Libraries/LibNet/StreamConnection.cpp
+++ b/Libraries/LibNet/StreamConnection.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::size_t pieceBytes = 16384;
+// Pieces that are read before other connections and timers get their turn, so that a peer that sends without end delays
+// nobody.
+constexpr int mostPiecesInRow = 4;
 constexpr int probeIntervalSeconds = 1;
 constexpr int lostProbes = 2;
 
@@ -168,7 +171,7 @@
 void StreamConnection::receive()
 {
     std::array<char, pieceBytes> piece;
-    while (m_isOpen && m_isReading && !m_hasPeerClosed) {
+    for (int pieces = 0; pieces < mostPiecesInRow && m_isOpen && m_isReading && !m_hasPeerClosed; ++pieces) {
         // Calls recv() directly, since a would-block result must not raise an exception here.
         const ssize_t count = ::recv(m_descriptor, piece.data(), piece.size(), MSG_DONTWAIT);
         if (count > 0) {
