LibSteering, LibPeer, LibGateway: Let demand bound to a region come first there

Cause: the weights of a region counted the demand of its own callers alone. A customer that may run in one small region only brings its callers' requests from all regions there; the region's other callers kept their share of its slots, since nobody knew of that demand. Change: VMs report which part of their demand may run in one region only; the weights subtract it from that region's slots, for its own callers as well as for those of other regions. The rest follows within the shift cap as before. Ruled out: caches too small for all objects of a region (each object is asked for from one region only, 24 a region and service).

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -253,7 +253,7 @@
     return m_peers->loans().mayReceiveTokens(customer, m_loop->now());
 }
 
-std::map<RegionId, double> EntryDaemon::demandFor(const ServiceId &service)
+std::map<RegionId, Demand> EntryDaemon::demandFor(const ServiceId &service)
 {
     return m_peers->demands().demandFor(service, m_loop->now());
 }
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -58,7 +58,7 @@
     void post(EventLoop::Task task);
     void requestTokens(const CustomerId &customer) override;
     bool mayReceiveTokens(const CustomerId &customer) override;
-    std::map<RegionId, double> demandFor(const ServiceId &service) override;
+    std::map<RegionId, Demand> demandFor(const ServiceId &service) override;
     SimpleAnswer readiness() const;
     SimpleAnswer lookUp() const;
     SimpleAnswer metrics() const;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -157,6 +157,19 @@
     return isRouteAllowed && isCustomerAllowed;
 }
 
+std::optional<RegionId> GatewayRequest::onlyRegion() const
+{
+    const bool isRouteBound = !m_route->allowedRegions.empty();
+    if (!isRouteBound && (m_customer == nullptr || m_customer->allowedRegions.empty())) {
+        return std::nullopt;
+    }
+    std::vector<RegionId> allowed = isRouteBound ? m_route->allowedRegions : m_customer->allowedRegions;
+    std::erase_if(allowed, [this](const RegionId &region) {
+        return !mayRunIn(region);
+    });
+    return allowed.size() == 1 ? std::optional(allowed.front()) : std::nullopt;
+}
+
 void GatewayRequest::bodyReceived(std::string_view bytes, bool isComplete)
 {
     const RefPointer<GatewayRequest> self(this);
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -82,6 +82,8 @@
     }
     /// Whether the route and the customer allow targets of the region.
     bool mayRunIn(const RegionId &region) const;
+    /// The region outside of which route and customer allow no target, if there is just one.
+    std::optional<RegionId> onlyRegion() const;
 
 private:
     enum class State {
--- a/Libraries/LibGateway/RegionDemand.h
+++ b/Libraries/LibGateway/RegionDemand.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <LibCore/Ids.h>
-
-#include <map>
+#include <LibSteering/Demand.h>
 
 namespace Sapphire {
 
@@ -12,9 +10,8 @@
 public:
     virtual ~RegionDemandSource() = default;
 
-    /// Returns the demand of each region's callers for a service, as far as it is known, as the number of slots that it
-    /// keeps busy.
-    virtual std::map<RegionId, double> demandFor(const ServiceId &service) = 0;
+    /// Returns the demand of each region's callers for a service, as far as it is known.
+    virtual std::map<RegionId, Demand> demandFor(const ServiceId &service) = 0;
 };
 
 } // namespace Sapphire
--- a/Libraries/LibGateway/RequestDispatcher.cpp
+++ b/Libraries/LibGateway/RequestDispatcher.cpp
@@ -54,7 +54,7 @@
 } // namespace
 
 RequestDispatcher::Service::Service(const RegionId &own)
-    : regionWeights(own, {}), spillover(spilloverBudget), demand(demandMemory)
+    : regionWeights(own, {}), spillover(spilloverBudget), freeDemand(demandMemory)
 {
 }
 
@@ -94,8 +94,7 @@
     const TimePoint now = m_loop.now();
     if (!request.isRetry()) {
         service.spillover.noteRequest(now);
-        const Microseconds work = m_processingTimes.warm(request.route());
-        service.demand.add(std::chrono::duration<double>(work).count(), now);
+        noteDemand(service, request);
     }
     const Choice choice = choose(request);
     if (choice.target && RequestQueueing::isUnmeetable(request.times(), forecastOf(request, choice), now)) {
@@ -109,6 +108,15 @@
     }
 }
 
+void RequestDispatcher::noteDemand(Service &service, const GatewayRequest &request)
+{
+    const double work = std::chrono::duration<double>(m_processingTimes.warm(request.route())).count();
+    const std::optional<RegionId> region = request.onlyRegion();
+    RateMeter &meter =
+        region ? service.boundDemand.try_emplace(*region, demandMemory).first->second : service.freeDemand;
+    meter.add(work, m_loop.now());
+}
+
 AnswerForecast RequestDispatcher::forecastOf(const GatewayRequest &request, const Choice &choice) const
 {
     return { choice.forecast.time, choice.forecast.hasFreeSlot, m_processingTimes.isKnown(request.route()) };
@@ -370,11 +378,17 @@
             }
         }
     }
-    const std::map<RegionId, double> demand =
-        m_demandSource != nullptr ? m_demandSource->demandFor(id) : std::map<RegionId, double>();
-    for (auto &[region, state] : regions) {
-        const auto known = demand.find(region);
-        state.demand = known != demand.end() ? known->second : 0;
+    const std::map<RegionId, Demand> demands =
+        m_demandSource != nullptr ? m_demandSource->demandFor(id) : std::map<RegionId, Demand>();
+    for (const auto &[callerRegion, demand] : demands) {
+        if (const auto own = regions.find(callerRegion); own != regions.end()) {
+            own->second.demand = demand.free;
+        }
+        for (const auto &[region, slots] : demand.bound) {
+            if (const auto target = regions.find(region); target != regions.end()) {
+                target->second.boundDemand += slots;
+            }
+        }
     }
     service.regionWeights.adjust(regions, now);
 }
@@ -414,13 +428,18 @@
     return RequestQueueing::retryAt(request.times(), m_random.unit(), m_loop.now());
 }
 
-std::map<ServiceId, double> RequestDispatcher::demand()
+ServiceDemands RequestDispatcher::demand()
 {
-    std::map<ServiceId, double> demand;
+    const TimePoint now = m_loop.now();
+    ServiceDemands demands;
     for (auto &[id, service] : m_services) {
-        demand[id] = service.demand.perSecond(m_loop.now());
+        Demand &demand = demands[id];
+        demand.free = service.freeDemand.perSecond(now);
+        for (auto &[region, meter] : service.boundDemand) {
+            demand.bound[region] = meter.perSecond(now);
+        }
     }
-    return demand;
+    return demands;
 }
 
 std::size_t RequestDispatcher::waitingCount() const
--- a/Libraries/LibGateway/RequestDispatcher.h
+++ b/Libraries/LibGateway/RequestDispatcher.h
@@ -41,8 +41,8 @@
     void noteTimeout(RequestAttempt &attempt);
     /// When a refused caller may come back with the best prospect.
     Deadline retryTime(const GatewayRequest &request);
-    /// Returns the demand of this VM's callers for each service, as the number of slots that it keeps busy.
-    std::map<ServiceId, double> demand();
+    /// Returns the demand of this VM's callers for each service.
+    ServiceDemands demand();
     std::size_t waitingCount() const;
 
 private:
@@ -57,7 +57,8 @@
         std::size_t scanPosition { 0 }; ///< Position in the queue from which the next scan begins.
         RegionWeights regionWeights;
         RatioBudget spillover; ///< Requests sent to another region than the weights chose.
-        RateMeter demand;
+        RateMeter freeDemand;
+        std::map<RegionId, RateMeter> boundDemand;
     };
 
     /// The options for a request in some regions, and the targets that they stand for.
@@ -78,6 +79,7 @@
     };
 
     Service &serviceOf(const ServiceId &id);
+    void noteDemand(Service &service, const GatewayRequest &request);
     /// Returns the best target now; null if none takes the request.
     Choice choose(const GatewayRequest &request);
     /// Returns the regions that may run the request and have a target for it.
--- a/Libraries/LibPeer/DemandTracker.cpp
+++ b/Libraries/LibPeer/DemandTracker.cpp
@@ -7,10 +7,10 @@
 // The demand of a whole region changes slowly, and its reports travel far, so they count for longer than those of VMs.
 constexpr Milliseconds regionReportLifetime { 15'000 };
 
-double demandOf(const ServiceDemands &demands, const ServiceId &service)
+Demand demandOf(const ServiceDemands &demands, const ServiceId &service)
 {
     const auto found = demands.find(service);
-    return found == demands.end() ? 0 : found->second;
+    return found == demands.end() ? Demand() : found->second;
 }
 
 } // namespace
@@ -39,9 +39,9 @@
     return sum;
 }
 
-std::map<RegionId, double> DemandTracker::demandFor(const ServiceId &service, TimePoint now) const
+std::map<RegionId, Demand> DemandTracker::demandFor(const ServiceId &service, TimePoint now) const
 {
-    std::map<RegionId, double> demand;
+    std::map<RegionId, Demand> demand;
     demand[m_ownRegion] = demandOf(m_own, service);
     for (const auto &[vm, report] : m_vms) {
         if (!report.validUntil.hasPassed(now)) {
--- a/Libraries/LibPeer/DemandTracker.h
+++ b/Libraries/LibPeer/DemandTracker.h
@@ -1,15 +1,10 @@
 #pragma once
 
 #include <LibCore/Deadline.h>
-#include <LibCore/Ids.h>
-
-#include <map>
+#include <LibSteering/Demand.h>
 
 namespace Sapphire {
 
-/// The callers' demand for each service, in busy slots.
-using ServiceDemands = std::map<ServiceId, double>;
-
 /// Tracks the demand of the callers of each region: this VM's own, the reports of the VMs of its region, and the
 /// reports that other regions send about themselves.
 class DemandTracker
@@ -30,7 +25,7 @@
     /// Returns the sum over the VMs of the own region.
     ServiceDemands ownRegion(TimePoint now) const;
     /// Returns the demand for the service in the own region and in each region whose report is valid and names it.
-    std::map<RegionId, double> demandFor(const ServiceId &service, TimePoint now) const;
+    std::map<RegionId, Demand> demandFor(const ServiceId &service, TimePoint now) const;
 
 private:
     struct DemandReport
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Duration.h>
 #include <LibCore/Hash.h>
+#include <LibPeer/DemandCodec.h>
 #include <LibPeer/PeerEvents.h>
 #include <LibPeer/SourceUpdateCodec.h>
 #include <LibPeer/TargetSyncReplyCodec.h>
@@ -26,27 +27,6 @@
 // forwarded as if they were new.
 constexpr Milliseconds longestBacklogPause { 500 };
 constexpr Milliseconds backlogTime { 500 };
-constexpr double centislots = 100;
-
-using WireDemands = google::protobuf::RepeatedPtrField<peer::ServiceDemand>;
-
-void writeDemands(const ServiceDemands &demands, WireDemands &wire)
-{
-    for (const auto &[service, demand] : demands) {
-        peer::ServiceDemand &entry = *wire.Add();
-        entry.set_service(service.text());
-        entry.set_offered_centislots(static_cast<std::uint32_t>(std::lround(demand * centislots)));
-    }
-}
-
-ServiceDemands readDemands(const WireDemands &wire)
-{
-    ServiceDemands demands;
-    for (const peer::ServiceDemand &entry : wire) {
-        demands[ServiceId(entry.service())] = entry.offered_centislots() / centislots;
-    }
-    return demands;
-}
 
 } // namespace
 
--- a/Libraries/LibSteering/RegionWeights.cpp
+++ b/Libraries/LibSteering/RegionWeights.cpp
@@ -20,7 +20,7 @@
     double demand = 0;
     for (const auto &[region, load] : regions) {
         slots += load.slots;
-        demand += load.demand;
+        demand += load.demand + load.boundDemand;
     }
     if (demand < slots * m_settings.leastUtilization) {
         for (auto &[region, load] : regions) {
@@ -37,7 +37,7 @@
     double demand = 0;
     for (const auto &[region, load] : regions) {
         slots += load.slots;
-        demand += load.demand;
+        demand += load.demand + load.boundDemand;
     }
     // The utilization at which all regions would be equally busy.
     const double evenUtilization = slots > 0 ? demand / slots : 0;
@@ -45,13 +45,14 @@
     std::map<RegionId, double> spare;
     double spareSum = 0;
     for (const auto &[region, load] : regions) {
-        const double freeSlots = std::max(0.0, load.slots * utilization - load.demand);
+        const double freeSlots = std::max(0.0, load.slots * utilization - load.boundDemand - load.demand);
         spare[region] = region == m_own ? 0 : freeSlots;
         spareSum += spare[region];
     }
     const auto own = regions.find(m_own);
     const RegionLoad ownLoad = own == regions.end() ? RegionLoad {} : own->second;
-    double local = ownLoad.demand > 0 ? std::min(1.0, ownLoad.slots * utilization / ownLoad.demand) : 1;
+    const double ownCapacity = std::max(0.0, ownLoad.slots * utilization - ownLoad.boundDemand);
+    double local = ownLoad.demand > 0 ? std::min(1.0, ownCapacity / ownLoad.demand) : 1;
     if (ownLoad.slots <= 0) {
         local = 0;
     } else if (spareSum < tiny) {
--- a/Libraries/LibSteering/RegionWeights.h
+++ b/Libraries/LibSteering/RegionWeights.h
@@ -21,15 +21,17 @@
     double assumedUtilization { 0.45 }; ///< Of all slots, in that case.
 };
 
-/// Slots of a service in a region, and the demand of the region's callers in busy slots.
+/// Slots of a service in a region, and the demand that they have to serve, in busy slots.
 struct RegionLoad
 {
     double slots { 0 };
-    double demand { 0 };
+    double demand { 0 }; ///< Of the region's callers, without requests that may run in one region only.
+    double boundDemand { 0 }; ///< Of the callers of all regions whose requests may run in this region only.
 };
 
 /// Divides the requests of one region's callers for one service among the regions by weight, for the case that they
-/// need more than the region's targets can take while others have capacity. The weights move slowly, and all VMs of a
+/// need more than the region's targets can take while others have capacity. Requests that may run in one region only
+/// come first there, and the others leave it if they have to. The weights move slowly, and all VMs of a
 /// region that know the same compute the same ones, so that the region's requests as a whole move slowly, too.
 class RegionWeights
 {
--- a/Tests/LibSteering/TestRegionWeights.cpp
+++ b/Tests/LibSteering/TestRegionWeights.cpp
@@ -60,6 +60,33 @@
     CHECK(weights.weight(pampa) == doctest::Approx(weights.weight(norte)));
 }
 
+TEST_CASE("RegionWeights makes free requests leave a region that bound ones fill")
+{
+    // Guards against a customer that may run in one small region only, whose callers are late there while requests that
+    // could run elsewhere keep their share of its slots.
+    RegionWeights weights(cuyo, {});
+    std::map<RegionId, RegionLoad> loads = regions(18, 9, 18);
+    loads[cuyo].boundDemand = 9;
+    weights.adjust(loads, start);
+    CHECK(weights.weight(cuyo) < 0.3);
+    loads[cuyo].boundDemand = 30;
+    RegionWeights full(cuyo, {});
+    full.adjust(loads, start);
+    CHECK(full.weight(cuyo) == doctest::Approx(0));
+}
+
+TEST_CASE("RegionWeights sends nothing to a region that bound requests fill")
+{
+    // Guards against spillover from another region into one whose own requests can't leave it.
+    RegionWeights weights(pampa, {});
+    std::map<RegionId, RegionLoad> loads = regions(18, 2, 18);
+    loads[pampa].demand = 40;
+    loads[cuyo].boundDemand = 16;
+    weights.adjust(loads, start);
+    CHECK(weights.weight(cuyo) == doctest::Approx(0));
+    CHECK(weights.weight(norte) > 0.1);
+}
+
 TEST_CASE("RegionWeights starts with what the slots ask for before any demand is known")
 {
     // Guards against a first time window in which all requests stay in the region, and a second one in which a part of
