LibSteering: Let a region share its requests from a utilization of 0.45 on

Hypothesis: a region of two targets with three slots each makes its callers wait at a utilization of 0.55, while others are at 0.33.

--- a/Libraries/LibSteering/RegionWeights.h
+++ b/Libraries/LibSteering/RegionWeights.h
@@ -13,7 +13,7 @@
 {
     /// The own region takes its own requests up to this utilization of its slots, even if others have more free
     /// capacity.
-    double localUtilization { 0.55 };
+    double localUtilization { 0.45 };
     /// Fraction of the requests whose region may change in a second because the weights change.
     double shiftPerSecond { 0.03 };
     /// Below this utilization of all slots the demand says nothing, and all regions count as having the same demand.
