--- a/Tests/LibGateway/TestFaultyTargets.cpp
+++ b/Tests/LibGateway/TestFaultyTargets.cpp
@@ -68,7 +68,9 @@
             }
             const std::string id = idIn(head);
             if (id == "refused") {
-                ScriptedTarget::write(socket, refusalText + "Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+                std::string refusal = refusalText;
+                refusal.append("Request-Id: ").append(id).append("\r\nContent-Length: 0\r\n\r\n");
+                ScriptedTarget::write(socket, refusal);
                 continue;
             }
             ++runs;
