--- a/Tests/LibGateway/TestFaultyTargets.cpp
+++ b/Tests/LibGateway/TestFaultyTargets.cpp
@@ -68,7 +68,7 @@
             }
             const std::string id = idIn(head);
             if (id == "refused") {
-                std::string refusal = refusalText;
+                refusal = refusalText;
                 refusal.append("Request-Id: ").append(id).append("\r\nContent-Length: 0\r\n\r\n");
                 ScriptedTarget::write(socket, refusal);
                 continue;
