LibTarget: Close a connection that carried a refusal

Cause: on sapphired's path a target's answer names no request. A target that wrote an earlier refusal once more, after the next request was sent on the kept connection, had that request counted as not run and sent to a second target, though the first one ran it. Idle connections with pending bytes were dropped already; a copy that comes later was not. Change: a connection on which a refusal came isn't kept. Its body is not read any more, so that one without end costs nothing. The check that the connection is kept became the check that it is closed: keeping it is the fault.

--- a/Libraries/LibTarget/TargetAttempt.cpp
+++ b/Libraries/LibTarget/TargetAttempt.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-// The body of a shed answer is read so that the connection can be reused. Beyond these limits, a new connection is
-// cheaper.
-constexpr std::uint64_t mostShedBytes = 4096;
-constexpr Milliseconds shedBodyTimeout { 20 };
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 constexpr int hexadecimal = 16;
 
@@ -304,20 +300,9 @@
 
 AttemptReport TargetAttempt::shed()
 {
-    const bool isSmall = m_reader->announcedBytes().value_or(mostShedBytes + 1) <= mostShedBytes;
-    bool isRead = false;
-    if (isSmall && m_isRequestComplete) {
-        const WaitLimit limit { m_head.deadline.earlier(Deadline::after(m_clock.now(), shedBodyTimeout)), &m_sink };
-        const Outcome<void> drained = capture([&]() -> Result<void> {
-            std::size_t count = 1;
-            while (count > 0) {
-                BOOST_LEAF_ASSIGN(count, m_reader->readBody(m_piece, limit));
-            }
-            return {};
-        });
-        isRead = static_cast<bool>(drained);
-    }
-    releaseConnection(isRead && m_reader->isConnectionReusable());
+    // Targets name no request in their answers. A faulty one may write this refusal once more when the next request is
+    // on its way, which would then count as not run although the target runs it.
+    releaseConnection(false);
     // Even if the request was sent completely, the target states that it has not run it.
     Refusal refusal { RefusalReason::NoCapacity, Verdict::NotRun, "target " + m_target.id.text() + " is at capacity" };
     return { { std::move(refusal), false }, AttemptEnd::Shed, m_status, m_latency, m_sentAt, m_wasReused };
--- a/Tests/LibTarget/TestTargetExchange.cpp
+++ b/Tests/LibTarget/TestTargetExchange.cpp
@@ -150,7 +150,7 @@
         CHECK(report.end == AttemptEnd::Silent);
         CHECK(fixture.pool.openCount() == 0);
     }
-    SUBCASE("shed, and the connection is kept")
+    SUBCASE("shed, and the connection is closed")
     {
         const StandInRunner standIn(StandInRunner::settings(1, 1, Milliseconds(0)));
         standIn.control("set?target=t0&shedAll=1");
@@ -158,7 +158,7 @@
         const AttemptReport report = fixture.run(fixture.head("/"));
         checkRefusal(report, RefusalReason::NoCapacity, Verdict::NotRun);
         CHECK(report.end == AttemptEnd::Shed);
-        CHECK(fixture.pool.idleCount() == 1);
+        CHECK(fixture.pool.openCount() == 0);
     }
     SUBCASE("deadline that has passed")
     {
@@ -192,6 +192,30 @@
     }
 }
 
+TEST_CASE("TargetExchange takes no repeated refusal for the answer to the next request")
+{
+    // Guards against "not run" for a booking that a target runs, since the target wrote an earlier refusal once more
+    // on the kept connection.
+    const std::string refusal = "HTTP/1.1 503 Full\r\nSapphire-Shed: 1\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<bool> hasRefused { false };
+    const ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
+        const bool isFirst = !hasRefused.exchange(true);
+        ScriptedTarget::readHead(socket);
+        if (isFirst) {
+            ScriptedTarget::write(socket, refusal);
+            ScriptedTarget::readHead(socket);
+            ScriptedTarget::write(socket, refusal);
+        }
+        ScriptedTarget::write(socket, answer("booked"));
+    });
+    Fixture fixture(target.address());
+    checkRefusal(fixture.run(fixture.head("/")), RefusalReason::NoCapacity, Verdict::NotRun);
+    RequestHead booking = fixture.head("/");
+    booking.method = "POST";
+    CHECK_FALSE(fixture.run(booking).exchange.refusal);
+    CHECK(fixture.sink->body == "booked");
+}
+
 TEST_CASE("TargetExchange drops a connection on which more arrived than the answer")
 {
     // Guards against surplus bytes after one answer that are read as the start of the next caller's answer. Bytes that
