--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -198,6 +198,24 @@
     CHECK(answer.has("Content-Length: 13\r\n"));
 }
 
+TEST_CASE("An answer without a length whose connection is reset is not forwarded as complete")
+{
+    // Guards against an answer that broke off and reaches the caller as a complete success.
+    ScriptedTarget target([](Poco::Net::StreamSocket &socket) {
+        ScriptedTarget::readHead(socket);
+        ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\n\r\nnot until");
+        std::this_thread::sleep_for(Milliseconds(50));
+        socket.setLinger(true, 0);
+        socket.close();
+    });
+    GatewayFixture fixture;
+    fixture.applyRules();
+    fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+    const CallerAnswer answer = fixture.call("POST", "/book/a");
+    const bool isCompleteSuccess = answer.status == 200 && !answer.isCut;
+    CHECK(!isCompleteSuccess);
+}
+
 TEST_CASE("A large answer is streamed, and one that is truncated is aborted")
 {
     // Guards against answers that fill the memory, and against a truncated answer that ends like a complete one.
