--- a/Libraries/LibSteering/RegionWeights.cpp
+++ b/Libraries/LibSteering/RegionWeights.cpp
@@ -8,6 +8,23 @@
 
 constexpr double tiny = 1e-9;
 
+/// Slots and demand of all regions together.
+struct LoadSum
+{
+    double slots { 0 };
+    double demand { 0 };
+};
+
+LoadSum sumOf(const std::map<RegionId, RegionLoad> &regions)
+{
+    LoadSum sum;
+    for (const auto &[region, load] : regions) {
+        sum.slots += load.slots;
+        sum.demand += load.demand + load.boundDemand;
+    }
+    return sum;
+}
+
 } // namespace
 
 RegionWeights::RegionWeights(RegionId own, RegionWeightsSettings settings) : m_own(std::move(own)), m_settings(settings)
@@ -16,15 +33,10 @@
 
 std::map<RegionId, RegionLoad> RegionWeights::withAssumedDemand(std::map<RegionId, RegionLoad> regions) const
 {
-    double slots = 0;
-    double demand = 0;
-    for (const auto &[region, load] : regions) {
-        slots += load.slots;
-        demand += load.demand + load.boundDemand;
-    }
-    if (demand < slots * m_settings.leastUtilization) {
+    const LoadSum sum = sumOf(regions);
+    if (sum.demand < sum.slots * m_settings.leastUtilization) {
         for (auto &[region, load] : regions) {
-            load.demand = slots * m_settings.assumedUtilization / static_cast<double>(regions.size());
+            load.demand = sum.slots * m_settings.assumedUtilization / static_cast<double>(regions.size());
         }
     }
     return regions;
@@ -33,14 +45,9 @@
 std::map<RegionId, double> RegionWeights::wantedWeights(const std::map<RegionId, RegionLoad> &known) const
 {
     const std::map<RegionId, RegionLoad> regions = withAssumedDemand(known);
-    double slots = 0;
-    double demand = 0;
-    for (const auto &[region, load] : regions) {
-        slots += load.slots;
-        demand += load.demand + load.boundDemand;
-    }
+    const LoadSum sum = sumOf(regions);
     // The utilization at which all regions would be equally busy.
-    const double evenUtilization = slots > 0 ? demand / slots : 0;
+    const double evenUtilization = sum.slots > 0 ? sum.demand / sum.slots : 0;
     const double utilization = std::max(evenUtilization, m_settings.localUtilization);
     std::map<RegionId, double> spare;
     double spareSum = 0;
@@ -65,7 +72,7 @@
             continue;
         }
         const double fraction =
-            spareSum >= tiny ? spare[region] / spareSum : load.slots / std::max(tiny, slots - ownLoad.slots);
+            spareSum >= tiny ? spare[region] / spareSum : load.slots / std::max(tiny, sum.slots - ownLoad.slots);
         weights[region] = (1 - local) * fraction;
     }
     return weights;
