LibNet: Keep a connection that an answer's head announced as kept

Cause: HttpServerConnection decided twice whether it keeps a connection, for the head of an answer and at the answer's end. A planned stop between the two closed a connection that was announced as kept; the caller's next request on it ended without an answer. Ruled out: the limit of bytes read in a row (the request is 20 bytes), the head timeout (3 s; the test failed after 0.26 s). Change: the decision is made once, with the head. A connection announced as closing is also closed now if the rest of the request's body comes later.

--- a/Libraries/LibNet/HttpServerConnection.cpp
+++ b/Libraries/LibNet/HttpServerConnection.cpp
@@ -186,7 +186,8 @@
     } else if (m_isChunked) {
         text += "Transfer-Encoding: chunked\r\n";
     }
-    if (!mayKeep()) {
+    m_isKept = mayKeep();
+    if (!m_isKept) {
         text += "Connection: close\r\n";
     } else if (!isHttp11) {
         text += "Connection: keep-alive\r\n";
@@ -247,9 +248,8 @@
 
 void HttpServerConnection::endRequest()
 {
-    const bool isKept = mayKeep();
     m_handler.reset();
-    if (!isKept) {
+    if (!m_isKept) {
         closeAfterOutput();
         return;
     }
--- a/Libraries/LibNet/HttpServerConnection.h
+++ b/Libraries/LibNet/HttpServerConnection.h
@@ -78,6 +78,8 @@
     bool m_isAnswerStarted { false };
     bool m_isAnswerFinished { false };
     bool m_isChunked { false };
+    /// What the answer's head announced. The caller may send another request although a stop has begun since.
+    bool m_isKept { false };
     bool m_hasNoAnswerBody { false };
     bool m_isHeadRequest { false };
     bool m_isAdvancing { false };
--- a/Tests/LibNet/TestHttpServerConnection.cpp
+++ b/Tests/LibNet/TestHttpServerConnection.cpp
@@ -230,6 +230,28 @@
     CHECK(receiveUntil(socket, "").find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("HttpServerConnection keeps a connection that it announced as kept when a stop begins during the answer")
+{
+    // Guards against a planned stop that closes a connection on which the caller may send its next request, which would
+    // end without an answer.
+    std::atomic<bool> *isLeaving = nullptr;
+    Server server([&isLeaving](HttpServerConnection &connection, const HttpHead &head) {
+        const std::string body = "answer to " + head.target + ".";
+        connection.startAnswer({ 200, {}, {}, body.size() });
+        *isLeaving = true;
+        connection.writeBody(body);
+        connection.finishAnswer();
+    });
+    isLeaving = &server.isLeaving;
+    Poco::Net::StreamSocket socket = server.connect();
+    send(socket, "GET /a HTTP/1.1\r\n\r\n");
+    CHECK(receiveUntil(socket, "answer to /a.").find("Connection: close") == std::string::npos);
+    send(socket, "GET /b HTTP/1.1\r\n\r\n");
+    const std::string last = receiveUntil(socket, "");
+    CHECK(last.find("Connection: close") != std::string::npos);
+    CHECK(last.ends_with("answer to /b."));
+}
+
 TEST_CASE("HttpServerConnection sends 100 Continue to a caller that expects it")
 {
     // Guards against a deadlock in which caller and server wait for each other.
