LibGateway: Log the death of a target with the requests that were lost there

A log could not tell why: attempt-failed did not say which request is a repetition of which, and nothing was logged when a target was found dead and no request was blamed for it.

attempt-failed of a broken connection now carries the request's fingerprint. The new event 10018 target-lost-requests and the counter sapphire_target_deaths_total say how many requests were lost at a dead target and how many of them count as its cause.

--- a/Libraries/LibGateway/CrashMonitor.cpp
+++ b/Libraries/LibGateway/CrashMonitor.cpp
@@ -32,11 +32,11 @@
     m_lostConnections[target].push_back({ fingerprint, now });
 }
 
-void CrashMonitor::noteTargetDied(const TargetId &target, TimePoint now)
+TargetDeath CrashMonitor::noteTargetDied(const TargetId &target, TimePoint now)
 {
     const auto found = m_lostConnections.find(target);
     if (found == m_lostConnections.end()) {
-        return;
+        return {};
     }
     std::vector<LostConnection> lost = std::move(found->second);
     m_lostConnections.erase(found);
@@ -50,11 +50,13 @@
             blamed.push_back(entry.fingerprint);
         }
     }
+    const TargetDeath death { lost.size(), blamed.size(), isMassDeath };
     const bool areAllBlamed = blamed.size() == lost.size();
     m_suspects.noteDeath(std::move(blamed), areAllBlamed, now);
     for (const CrashSuspect &suspect : m_suspects.seenAfter(now - broadcastWindow, now)) {
         m_onSuspect(suspect);
     }
+    return death;
 }
 
 bool CrashMonitor::countDeath(TimePoint now)
--- a/Libraries/LibGateway/CrashMonitor.h
+++ b/Libraries/LibGateway/CrashMonitor.h
@@ -14,6 +14,14 @@
 /// Returns a hash of customer, method, host, target and body, by which a repeated request is recognized.
 Fingerprint fingerprintOf(const CustomerId &customer, const CallerRequest &request, std::string_view body);
 
+/// What the death of a target says about the requests that were lost there.
+struct TargetDeath
+{
+    std::size_t lost { 0 }; ///< Requests of this VM whose connections to the target had just broken.
+    std::size_t blamed { 0 }; ///< How many of them are suspected of having caused it.
+    bool isMassDeath { false }; ///< So many targets died at once that requests are not the cause.
+};
+
 /// Identifies requests that may crash targets. A connection that breaks while a request runs says little; if the target
 /// then turns out to have died, the requests whose connections broke become suspects, unless many targets die at once.
 class CrashMonitor
@@ -25,7 +33,7 @@
     /// A request was running when its connection to the target broke.
     void noteConnectionLost(const TargetId &target, const Fingerprint &fingerprint, TimePoint now);
     /// The target accepts no connections, or has restarted.
-    void noteTargetDied(const TargetId &target, TimePoint now);
+    TargetDeath noteTargetDied(const TargetId &target, TimePoint now);
     /// The target has answered a request.
     void noteAnswered(const Fingerprint &fingerprint, TimePoint now);
     /// Takes over a suspect that another VM has reported.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -57,7 +57,7 @@
               m_dispatcher.capacityChanged(service);
           },
           [this](const TargetId &target) {
-              m_crashMonitor.noteTargetDied(target, m_loop.now());
+              noteTargetDied(target);
           })
     , m_housekeeping(loop,
                      [this] {
@@ -238,7 +238,7 @@
         target.noteUnreachable(now);
         target.setUnverified();
         target.closeIdle(true);
-        m_crashMonitor.noteTargetDied(target.id(), now);
+        noteTargetDied(target.id());
         break;
     case AttemptFailure::Kind::Broken:
         // The target may have restarted, with empty caches.
@@ -272,6 +272,21 @@
     m_metrics.counter("sapphire_refusals_total", "reason=\"" + std::string(nameOf(refusal.reason)) + "\"").add();
 }
 
+void Gateway::noteTargetDied(const TargetId &target)
+{
+    const TargetDeath death = m_crashMonitor.noteTargetDied(target, m_loop.now());
+    if (death.lost == 0) {
+        return;
+    }
+    logEvent(GatewayEvents::targetLostRequests,
+             { { "target", target },
+               { "lostRequests", death.lost },
+               { "blamedRequests", death.blamed },
+               { "massDeath", death.isMassDeath } });
+    const std::string blame = death.blamed > 0 ? "requests" : "none";
+    m_metrics.counter("sapphire_target_deaths_total", "blame=\"" + blame + "\"").add();
+}
+
 void Gateway::noteEnded(GatewayRequest &request)
 {
     m_active.erase(&request);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -96,6 +96,8 @@
     void noteFailed(const GatewayRequest &request, RequestAttempt &attempt, const AttemptFailure &failure);
     void noteTimeout(const GatewayRequest &request, RequestAttempt &attempt);
     void noteRefused(const Refusal &refusal);
+    /// The target accepts no connections, or has restarted.
+    void noteTargetDied(const TargetId &target);
     void noteEnded(GatewayRequest &request);
 
 private:
--- a/Libraries/LibGateway/GatewayRequestLog.cpp
+++ b/Libraries/LibGateway/GatewayRequestLog.cpp
@@ -34,6 +34,7 @@
                { "attempt", m_attempts },
                { "verdict", nameOf(failure.verdict) },
                { "stale", failure.isStaleConnection },
+               { "fingerprint", failure.kind == AttemptFailure::Kind::Broken ? m_fingerprint : Fingerprint() },
                { "afterMilliseconds", millisecondsBetween(attempt.startedAt(), m_loop.now()) },
                { "expectedMilliseconds", std::chrono::duration_cast<Milliseconds>(attempt.forecast().time).count() },
                { "detail", failure.detail } });
