LibGateway: Blame a request whose reused connection broke as its target died

Callers saw one target after the other end under a request that came again and again. If a connection that had been idle ended without an answer, the gateway took that for a target that had closed it in the same moment, and did not note the request as lost. When the target was then found dead, no request was blamed. In ordinary traffic most requests reuse a connection, so that the request was never refused.

A lost request is blamed only once its target is found dead, and a target that merely closes an idle connection is not, so the exception served nothing.

TestCrashingRequests keeps connections to eight targets and sends the request 12 times.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -243,9 +243,7 @@
     case AttemptFailure::Kind::Broken:
         // The target may have restarted, with empty caches.
         target.setUnverified();
-        if (!failure.isStaleConnection) {
-            m_crashMonitor.noteConnectionLost(target.id(), request.fingerprint(), now);
-        }
+        m_crashMonitor.noteConnectionLost(target.id(), request.fingerprint(), now);
         causesEjection = !failure.isStaleConnection && target.noteFailure(now);
         break;
     case AttemptFailure::Kind::Malformed:
