LibGateway: Notice a death though the target restarts under another id

A target that crashed and started again before its health check ran, under another id, answered the check as a stranger. The gateway stopped sending to it, but did not count that as a death, so that the request under which it had crashed was never blamed and went on to the next target.

TestCrashingRequests plays targets that restart so.

--- a/Libraries/LibGateway/HealthChecker.cpp
+++ b/Libraries/LibGateway/HealthChecker.cpp
@@ -160,6 +160,7 @@
     const TimePoint now = m_loop.now();
     const bool isOtherTarget = head.header(m_names.targetId).value_or(target.id().text()) != target.id().text();
     if (isOtherTarget) {
+        m_onDied(target.id());
         target.noteUnreachable(now);
         return;
     }
--- a/Tests/LibGateway/TestCrashingRequests.cpp
+++ b/Tests/LibGateway/TestCrashingRequests.cpp
@@ -123,3 +123,13 @@
         CHECK(crashes <= mostCrashes);
     }
 }
+
+TEST_CASE("A request that crashes targets is refused though they restart under another id")
+{
+    // Guards against a death that goes unnoticed because another target answers at the address.
+    CrashingService service("-restarted");
+    service.useAllTargets();
+    const int crashes = service.crash("POST", "/book/poison");
+    CHECK(crashes >= 1);
+    CHECK(crashes <= mostCrashes);
+}
