LibPeer: Tell VMs that start or return of the crash suspects again and again

A request became a suspect on the VMs that ran when it was broadcast. A VM that started later, or that was cut off during the broadcast and its two repeats, never heard of it, and lost targets of its own before it refused the request.

Each VM now tells one VM of each region per round of the worst suspects that it knows, another one each time, and answers the first heartbeat of a VM with them. A repeated suspect does not become younger, so that a suspicion ends when its time is over.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -74,6 +74,9 @@
     m_gateway->setSuspectBroadcaster([this](const CrashSuspect &suspect) {
         m_peers->broadcastSuspect(suspect);
     });
+    m_peers->setSuspectProvider([this](std::size_t count) {
+        return m_gateway->crashMonitor().worstSuspects(count, m_loop->now());
+    });
     m_peers->setDemandProvider([this] {
         return m_gateway->dispatcher().demand();
     });
--- a/Libraries/LibGateway/CrashMonitor.h
+++ b/Libraries/LibGateway/CrashMonitor.h
@@ -38,6 +38,11 @@
     void noteAnswered(const Fingerprint &fingerprint, TimePoint now);
     /// Takes over a suspect that another VM has reported.
     void merge(const CrashSuspect &suspect, TimePoint now);
+    /// Returns up to `count` suspects that other VMs should refuse, too, those with the most crashes first.
+    std::vector<CrashSuspect> worstSuspects(std::size_t count, TimePoint now) const
+    {
+        return m_suspects.worst(count, now);
+    }
     /// Whether the request must not be sent to a target.
     bool isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const;
     /// Drops old suspects and lost connections.
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Duration.h>
 #include <LibCore/Hash.h>
+#include <LibPeer/CrashSuspectCodec.h>
 #include <LibPeer/DemandCodec.h>
 #include <LibPeer/PeerEvents.h>
 #include <LibPeer/SourceUpdateCodec.h>
@@ -23,6 +24,7 @@
 constexpr Milliseconds longestPause { 1'500 };
 constexpr Milliseconds silenceSettleTime { 3'000 };
 constexpr std::size_t mostSilentVmsPerDatagram { 40 };
+constexpr std::size_t mostSuspectsPerReport { 8 };
 // After a longer pause of the own process, datagrams that waited in its socket are of unknown age and must not be
 // forwarded as if they were new.
 constexpr Milliseconds longestBacklogPause { 500 };
@@ -98,7 +100,7 @@
 {
     checkSilence();
     m_demands.setOwn(m_demandProvider());
-    reportDemands();
+    reportToRegions();
     sendSuspects(m_suspectGossip.takeRepeats());
     sendHeartbeat();
     m_heartbeat.start(Deadline::after(m_loop.now(), heartbeatInterval));
@@ -127,18 +129,22 @@
     return datagram;
 }
 
-void PeerNetwork::reportDemands()
+void PeerNetwork::reportToRegions()
 {
-    peer::Datagram datagram;
-    datagram.mutable_region()->set_region(m_own.locality.region.text());
-    writeDemands(m_demands.ownRegion(m_loop.now()), *datagram.mutable_region()->mutable_demands());
+    peer::Datagram suspects;
+    writeSuspects(m_suspectProvider(mostSuspectsPerReport), m_loop.now(), suspects);
+    peer::Datagram report = suspects;
+    report.mutable_region()->set_region(m_own.locality.region.text());
+    writeDemands(m_demands.ownRegion(m_loop.now()), *report.mutable_region()->mutable_demands());
     // Each VM reports to one VM of each region per round, to another one each time, so that together they reach all of
     // them about once a second.
-    ++m_demandReports;
-    const std::size_t offset = stableHash(m_own.vm.text()) + m_demandReports;
+    ++m_reports;
+    const std::size_t offset = stableHash(m_own.vm.text()) + m_reports;
     for (const RegionId &region : m_roster.regions()) {
         const std::vector<VmRecord> peers = m_roster.peersIn(region);
-        if (region != m_own.locality.region && !peers.empty()) {
+        const peer::Datagram &datagram = region == m_own.locality.region ? suspects : report;
+        const bool isNeeded = datagram.has_region() || datagram.suspects_size() > 0;
+        if (isNeeded && !peers.empty()) {
             send(peers[offset % peers.size()], datagram);
         }
     }
@@ -307,14 +313,8 @@
     if (suspects.empty()) {
         return;
     }
-    const TimePoint now = m_loop.now();
     peer::Datagram datagram;
-    for (const CrashSuspect &suspect : suspects) {
-        peer::CrashSuspect &entry = *datagram.add_suspects();
-        entry.set_fingerprint(suspect.fingerprint.text());
-        entry.set_crashes(static_cast<std::uint32_t>(suspect.crashes));
-        entry.set_age(static_cast<std::uint32_t>(millisecondsBetween(suspect.lastSeenAt, now)));
-    }
+    writeSuspects(suspects, m_loop.now(), datagram);
     for (const RegionId &region : m_roster.regions()) {
         sendTo(region, datagram);
     }
@@ -353,9 +353,8 @@
     for (const peer::Reading &message : datagram.readings()) {
         takeUpdate(peer, message);
     }
-    for (const peer::CrashSuspect &entry : datagram.suspects()) {
-        m_onSuspect({ Fingerprint(entry.fingerprint()), m_loop.now() - Milliseconds(entry.age()),
-                      static_cast<int>(entry.crashes()) });
+    for (const CrashSuspect &suspect : readSuspects(datagram, m_loop.now())) {
+        m_onSuspect(suspect);
     }
     for (const std::string &vm : datagram.silent()) {
         m_roster.noteReportedSilent(VmId(vm), peer.vm, m_loop.now());
@@ -375,8 +374,10 @@
     m_roster.noteHeartbeat(sender.vm, datagram.started(), { isLeaving, datagram.presence().cannot_read() },
                            m_loop.now());
     if (isNewProcess || isFirst) {
-        // The sender has not received this VM's presence yet.
-        send(sender, presence());
+        // The sender has not received this VM's presence yet, and may know no crash suspects.
+        peer::Datagram greeting = presence();
+        writeSuspects(m_suspectProvider(mostSuspectsPerReport), m_loop.now(), greeting);
+        send(sender, greeting);
     }
     if (isLeaving && m_serving.erase(sender.vm) > 0) {
         logEvent(PeerEvents::peerLeaving, { { "vm", sender.vm } });
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -61,6 +61,12 @@
     {
         m_onSuspect = std::move(callback);
     }
+    /// Sets a function that returns the worst crash suspects, up to the given number. They are told again and again,
+    /// since a VM may have started or been cut off when they were broadcast.
+    void setSuspectProvider(std::function<std::vector<CrashSuspect>(std::size_t)> provider)
+    {
+        m_suspectProvider = std::move(provider);
+    }
     /// Sets a function that returns the demand of this VM's callers.
     void setDemandProvider(std::function<ServiceDemands()> provider)
     {
@@ -86,7 +92,8 @@
     void receive(const Poco::Net::SocketAddress &sender, std::string_view bytes);
     void takePresence(const VmRecord &sender, const peer::Datagram &datagram);
     void takeLoans(const VmRecord &sender, const peer::Datagram &datagram);
-    /// Sends heartbeats, demand reports and repeats of crash suspects, and checks for silent VMs; about once a second.
+    /// Sends heartbeats, reports to the regions and repeats of crash suspects, and checks for silent VMs; about once a
+    /// second.
     void announce();
     void sendHeartbeat();
     /// Sends the own presence to all VMs of the region at once, after a change.
@@ -99,7 +106,8 @@
     void sendUpdate(const peer::Datagram &datagram);
     /// Forwards the updates of another VM's datagram to the VMs of the own availability zone, with that VM as origin.
     void forward(const VmRecord &sender, const peer::Datagram &datagram);
-    void reportDemands();
+    /// Tells one VM of each region what it may not know: the demand of the own region, and crash suspects.
+    void reportToRegions();
     void checkSilence();
     /// Detects that the own process was paused; datagrams that it receives right after that may be old.
     void detectPause();
@@ -118,7 +126,7 @@
     std::function<ServiceDemands()> m_demandProvider { [] {
         return ServiceDemands();
     } };
-    std::size_t m_demandReports { 0 }; ///< Rounds of reports sent to other regions.
+    std::size_t m_reports { 0 }; ///< Rounds of reports sent to the regions.
     std::unique_ptr<PeerSocket> m_socket;
     Timer m_heartbeat;
     Timer m_suspectTimer;
@@ -130,6 +138,9 @@
                                                                                        const ShortDigests &) {} };
     std::function<void(const TargetSyncReply &)> m_onTargetSyncReply { [](const TargetSyncReply &) {} };
     std::function<void(const CrashSuspect &)> m_onSuspect { [](const CrashSuspect &) {} };
+    std::function<std::vector<CrashSuspect>(std::size_t)> m_suspectProvider { [](std::size_t) {
+        return std::vector<CrashSuspect>();
+    } };
     CrashSuspectGossip m_suspectGossip;
     std::set<SourceKind> m_unreadable; ///< Sources that this VM can't read.
     DocumentParts m_documentParts; ///< Of rules; usually one VM broadcasts them at a time.
--- a/Libraries/LibSteering/CrashSuspects.cpp
+++ b/Libraries/LibSteering/CrashSuspects.cpp
@@ -68,10 +68,13 @@
     if (found == m_suspects.end()) {
         return m_suspects.size() < mostSuspects && m_suspects.emplace(suspect.fingerprint, suspect).second;
     }
-    const bool hasMoreCrashes = suspect.crashes > found->second.crashes;
+    if (suspect.crashes <= found->second.crashes) {
+        // VMs repeat what they know to each other, and its age loses the time of the journey each time.
+        return false;
+    }
     found->second.lastSeenAt = std::max(found->second.lastSeenAt, suspect.lastSeenAt);
-    found->second.crashes = std::max(found->second.crashes, suspect.crashes);
-    return hasMoreCrashes;
+    found->second.crashes = suspect.crashes;
+    return true;
 }
 
 bool CrashSuspects::isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const
@@ -100,6 +103,19 @@
     return result;
 }
 
+std::vector<CrashSuspect> CrashSuspects::worst(std::size_t count, TimePoint now) const
+{
+    std::vector<CrashSuspect> result = seenAfter(now - retention, now);
+    std::erase_if(result, [](const CrashSuspect &suspect) {
+        return suspect.crashes < refusalPoints;
+    });
+    std::sort(result.begin(), result.end(), [](const CrashSuspect &left, const CrashSuspect &right) {
+        return left.crashes != right.crashes ? left.crashes > right.crashes : left.lastSeenAt > right.lastSeenAt;
+    });
+    result.resize(std::min(result.size(), count));
+    return result;
+}
+
 void CrashSuspects::expire(TimePoint now)
 {
     std::erase_if(m_suspects, [now](const auto &entry) {
--- a/Libraries/LibSteering/CrashSuspects.h
+++ b/Libraries/LibSteering/CrashSuspects.h
@@ -30,6 +30,8 @@
     bool isRefused(const Fingerprint &fingerprint, bool isIdempotent, TimePoint now) const;
     /// Returns the suspects seen after the given time, to be forwarded to other VMs.
     std::vector<CrashSuspect> seenAfter(TimePoint after, TimePoint now) const;
+    /// Returns up to `count` suspects that other VMs should refuse, too, those with the most crashes first.
+    std::vector<CrashSuspect> worst(std::size_t count, TimePoint now) const;
     /// Drops suspects that have not been seen for a while.
     void expire(TimePoint now);
 
--- a/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
+++ b/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
@@ -1,104 +1,39 @@
-#include <LibPeer/PeerNetwork.h>
-
-#include <Harness/LoopbackSubnet.h>
-#include <LibCore/BootClock.h>
+#include <LibPeer/PeerVms.h>
 
 #include <doctest/doctest.h>
 
-#include <string>
-#include <vector>
-
 using namespace Sapphire;
 
 namespace {
 
 constexpr int vmsPerZone = 4;
-constexpr Milliseconds longestWait { 3'000 };
 // An update that is forwarded in a loop would arrive again within this time.
 constexpr Milliseconds repeatWindow { 1'000 };
 
-/// One VM; all run on the same event loop.
-struct PeerVm
-{
-    VmRecord record;
-    std::unique_ptr<VmRoster> roster;
-    std::unique_ptr<CustomerQuotas> quotas;
-    std::unique_ptr<PeerNetwork> network;
-    std::vector<SourceUpdate> received;
-};
-
-/// The VMs of a region with two availability zones. Its settings make it count as large.
-class LargeRegion
+std::vector<Locality> twoZones()
 {
-public:
-    LargeRegion()
-        : m_loop(std::move(capture([this] {
-                               return EventLoop::create(m_clock);
-                           }).value()))
-    {
-        std::vector<VmRecord> records;
-        for (int i = 0; i < 2 * vmsPerZone; ++i) {
-            VmRecord record;
-            record.vm = VmId("vm-" + std::to_string(i));
-            record.locality = { RegionId("cuyo"), AvailabilityZoneId(i < vmsPerZone ? "cuyo-a" : "cuyo-b") };
-            record.peerAddress = m_subnet.address(10 + i) + ":7600";
-            record.startedAtMilliseconds = 1;
-            records.push_back(record);
-        }
-        VmRosterSettings settings;
-        settings.heartbeats = { 2, 1 };
-        m_vms.resize(records.size());
-        for (std::size_t i = 0; i < records.size(); ++i) {
-            start(m_vms[i], records[i], settings);
-        }
-        for (PeerVm &vm : m_vms) {
-            vm.network->applyRecords(records);
-        }
-        runUntil([this] {
-            return std::all_of(m_vms.begin(), m_vms.end(), [this](const PeerVm &vm) {
-                return vm.roster->serving(m_loop->now()).size() == m_vms.size();
-            });
-        });
+    std::vector<Locality> places;
+    for (const char *zone : { "cuyo-a", "cuyo-b" }) {
+        places.insert(places.end(), vmsPerZone, { RegionId("cuyo"), AvailabilityZoneId(zone) });
     }
+    return places;
+}
 
-    std::vector<PeerVm> &vms()
-    {
-        return m_vms;
-    }
-    TimePoint now() const
-    {
-        return m_clock.now();
-    }
-    /// Runs the loop until the condition holds or the time is over. Returns whether the condition holds.
-    template<typename Condition>
-    bool runUntil(const Condition &condition, Milliseconds longest = longestWait)
-    {
-        const Deadline end = Deadline::after(m_clock.now(), longest);
-        while (!condition() && !end.hasPassed(m_clock.now())) {
-            m_loop->runOnce(Deadline::after(m_clock.now(), Milliseconds(20)));
-        }
-        return condition();
+/// Starts all VMs with settings by which their region counts as large, and waits until they know each other.
+void startLargeRegion(PeerVms &region)
+{
+    VmRosterSettings settings;
+    settings.heartbeats = { 2, 1 };
+    for (PeerVm &vm : region.vms()) {
+        region.start(vm, settings);
     }
-
-private:
-    void start(PeerVm &vm, const VmRecord &record, const VmRosterSettings &settings)
-    {
-        vm.record = record;
-        vm.roster = std::make_unique<VmRoster>(record.vm, record.locality, settings);
-        vm.quotas = std::make_unique<CustomerQuotas>(record.vm, QuotaSettings {});
-        vm.network = std::move(capture([&] {
-                                   return PeerNetwork::create(*m_loop, record, *vm.roster, *vm.quotas);
-                               }).value());
-        vm.network->onUpdate([&vm](const SourceUpdate &update) {
-            vm.received.push_back(update);
+    region.introduce();
+    region.runUntil([&region] {
+        return std::all_of(region.vms().begin(), region.vms().end(), [&region](const PeerVm &vm) {
+            return vm.roster->serving(region.now()).size() == region.vms().size();
         });
-    }
-
-    BootClock m_clock;
-    LoopbackSubnet m_subnet;
-    std::unique_ptr<EventLoop> m_loop;
-    std::vector<PeerVm> m_vms;
-};
+    });
+}
 
 } // namespace
 
@@ -106,7 +41,8 @@
 {
     // Guards against VMs of another availability zone that miss the update, take the relay for the reader, or forward
     // the update in a loop.
-    LargeRegion region;
+    PeerVms region(twoZones());
+    startLargeRegion(region);
     SourceUpdate update;
     update.kind = SourceKind::Targets;
     update.digest = 7;
@@ -118,11 +54,7 @@
         });
     };
     CHECK(region.runUntil(haveReceived));
-    region.runUntil(
-        [] {
-            return false;
-        },
-        repeatWindow);
+    region.runFor(repeatWindow);
     for (std::size_t i = 1; i < region.vms().size(); ++i) {
         CAPTURE(i);
         REQUIRE(region.vms()[i].received.size() == 1);
--- a/Tests/LibSteering/TestCrashSuspects.cpp
+++ b/Tests/LibSteering/TestCrashSuspects.cpp
@@ -79,3 +79,29 @@
     suspects.noteDeath({ request, request }, true, start);
     CHECK(suspects.isRefused(request, false, start));
 }
+
+TEST_CASE("CrashSuspects forgets a suspect that VMs repeat to each other when its time is over")
+{
+    // Guards against a suspicion without end: a VM that got a suspect later than another would make it younger.
+    CrashSuspects suspects;
+    suspects.noteDeath({ request }, true, start);
+    for (int second = 1; second <= 600; ++second) {
+        const TimePoint now = start + std::chrono::seconds(second);
+        suspects.merge({ request, now - Milliseconds(1), 2 }, now);
+    }
+    CHECK_FALSE(suspects.isRefused(request, false, start + Milliseconds(600'001)));
+}
+
+TEST_CASE("CrashSuspects tells other VMs only of the worst suspects that they should refuse")
+{
+    // Guards against telling of bystanders, or against leaving out the request with the most crashes.
+    CrashSuspects suspects;
+    suspects.noteDeath({ request }, true, start);
+    suspects.noteDeath({ request }, true, start);
+    suspects.noteDeath({ bystander, Fingerprint("f3") }, true, start);
+    suspects.noteDeath({ Fingerprint("f4") }, true, start);
+    const std::vector<CrashSuspect> worst = suspects.worst(8, start);
+    REQUIRE(worst.size() == 2);
+    CHECK(worst.front().fingerprint == request);
+    CHECK(suspects.worst(1, start).size() == 1);
+}
