LibSteering, LibGateway: Keep to the request rate that targets ask for

A target in need names in its answers how many requests a second it takes from all VMs together. No VM read that, so that it got its usual load: up to 38 requests in 4 s at a limit of 3.7 a second.

Each VM now reads the limit from answers and keeps to its part of it. The part follows the demand that the VMs already tell each other (RateShare): the callers of the target's region and those bound to it come first. The VMs agree on nothing, so that what a VM doesn't use must not be saved up: 25 VMs with one saved request each would send more than the 11 requests that a limit of 1 a second allows in 4 s. TargetRateLimit gives out each allowed request in a turn of one second, at a random phase, and a turn that isn't used is lost. Ruled out: a few owner VMs for each target as for cold ones, since callers who may be served in one region only would find no owner at most VMs; even parts over all VMs, since two thirds of them would lie in regions that hardly use them.

TestTargetRateLimit plays 1 to 730 VMs under full load, at once and after a calm minute, against the bound of the users' rule. TestLimitedTargets: a gateway sent 11,712 requests in 4 s to a target that had named 1.5 a second; now at most 14 (the bound of the test).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -214,6 +214,7 @@
     GatewayTarget &target = attempt.target();
     target.noteAnswered();
     m_dispatcher.noteAnswer(request, attempt);
+    m_dispatcher.noteRateLimit(target, attempt.rateLimit());
     m_crashMonitor.noteAnswered(request.fingerprint(), m_loop.now());
     m_metrics.counter("sapphire_requests_total", "outcome=\"answered\"").add();
     m_metrics.histogram("sapphire_request_seconds").record(m_loop.now() - request.arrivedAt());
@@ -228,6 +229,9 @@
     if (failure.verdict != Verdict::NotRun && !failure.isStaleConnection) {
         target.quality().noteFailure(now);
     }
+    if (attempt.rateLimit()) {
+        m_dispatcher.noteRateLimit(target, attempt.rateLimit());
+    }
     switch (failure.kind) {
     case AttemptFailure::Kind::Shed:
         target.load().noteShed(now);
--- a/Libraries/LibGateway/GatewayEvents.h
+++ b/Libraries/LibGateway/GatewayEvents.h
@@ -18,6 +18,7 @@
 inline constexpr EventType zoneReturned { 10016, "zone-returned", Severity::Info };
 inline constexpr EventType crashSuspected { 10017, "crash-suspected", Severity::Warning };
 inline constexpr EventType targetLostRequests { 10018, "target-lost-requests", Severity::Warning };
+inline constexpr EventType targetLimited { 10019, "target-limited", Severity::Info };
 inline constexpr EventType rulesInForce { 10020, "rules-in-force", Severity::Info };
 inline constexpr EventType gatewayStarted { 10030, "gateway-started", Severity::Info };
 inline constexpr EventType gatewayLeaving { 10031, "gateway-leaving", Severity::Info };
--- a/Libraries/LibGateway/GatewayTarget.cpp
+++ b/Libraries/LibGateway/GatewayTarget.cpp
@@ -40,6 +40,7 @@
     if (isRestarted || isMoved) {
         m_recentObjects.clear();
         m_quality.reset();
+        m_rateLimit = {};
         closeIdle(true);
     }
     if (isMoved) {
--- a/Libraries/LibGateway/GatewayTarget.h
+++ b/Libraries/LibGateway/GatewayTarget.h
@@ -7,6 +7,7 @@
 #include <LibSteering/TargetListEntry.h>
 #include <LibSteering/TargetLoad.h>
 #include <LibSteering/TargetQuality.h>
+#include <LibSteering/TargetRateLimit.h>
 
 #include <set>
 #include <vector>
@@ -123,6 +124,11 @@
     {
         return m_coldLimiter;
     }
+    /// This VM's part of the rate that the target has asked for.
+    TargetRateLimit &rateLimit()
+    {
+        return m_rateLimit;
+    }
     RecentObjects &recentObjects()
     {
         return m_recentObjects;
@@ -151,6 +157,7 @@
     TargetQuality m_quality;
     Microseconds m_roundTrip { Milliseconds(2) };
     ColdStartLimiter m_coldLimiter;
+    TargetRateLimit m_rateLimit;
     RecentObjects m_recentObjects;
     TimePoint m_coldUntil;
     bool m_isUnverified { false };
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -3,6 +3,7 @@
 #include <LibNet/ChunkedEncoding.h>
 
 #include <charconv>
+#include <cmath>
 
 namespace Sapphire {
 
@@ -31,6 +32,15 @@
     return report;
 }
 
+std::optional<double> readRate(std::string_view text)
+{
+    double rate = 0;
+    const char *const end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, rate);
+    const bool isValid = result.ec == std::errc() && result.ptr == end && std::isfinite(rate) && rate >= 0;
+    return isValid ? std::optional(rate) : std::nullopt;
+}
+
 } // namespace
 
 RequestAttempt::RequestAttempt(EventLoop &loop, const WireNames &names, RefPointer<GatewayTarget> target,
@@ -204,6 +214,12 @@
          "status " + std::to_string(m_answer.status));
 }
 
+std::optional<double> RequestAttempt::rateLimit() const
+{
+    const std::optional<std::string_view> text = m_answer.header(m_names.rateLimit);
+    return text ? readRate(*text) : std::nullopt;
+}
+
 bool RequestAttempt::isNotRun() const
 {
     return m_answer.status == statusMisdirected || m_answer.header(m_names.notRun).has_value();
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -109,6 +109,8 @@
     {
         return m_load;
     }
+    /// The rate that the answer asks all VMs together to keep to, in requests a second; nothing if it names none.
+    std::optional<double> rateLimit() const;
     std::size_t pendingOutput() const
     {
         return m_session ? m_session->pendingOutput() : 0;
--- a/Libraries/LibGateway/RequestDispatcher.cpp
+++ b/Libraries/LibGateway/RequestDispatcher.cpp
@@ -3,7 +3,9 @@
 #include <LibCore/Duration.h>
 #include <LibCore/Hash.h>
 #include <LibGateway/Gateway.h>
+#include <LibGateway/GatewayEvents.h>
 #include <LibSteering/CandidateSample.h>
+#include <LibSteering/RateShare.h>
 
 #include <algorithm>
 
@@ -136,6 +138,7 @@
     if (choice.target->isCold(now)) {
         choice.target->coldLimiter().noteSent(now);
     }
+    choice.target->rateLimit().noteSent(now);
     request.sendTo(choice.target, choice.forecast);
 }
 
@@ -143,7 +146,7 @@
 {
     const TimePoint now = m_loop.now();
     return m_targets.takesWork(target) && target.mayTakeRequest() && !request.hasTried(target.id())
-        && (!target.isCold(now) || target.coldLimiter().maySend(now));
+        && (!target.isCold(now) || target.coldLimiter().maySend(now)) && target.rateLimit().maySend(now);
 }
 
 RequestDispatcher::Regions RequestDispatcher::openRegions(const GatewayRequest &request)
@@ -373,14 +376,15 @@
     std::map<RegionId, RegionLoad> regions;
     for (const RegionTargets &region : m_targets.regionsOf(id)) {
         for (const RefPointer<GatewayTarget> &target : region.targets) {
+            if (target->rateLimit().rate()) {
+                target->rateLimit().setShare(rateShare(id, region.region), now);
+            }
             if (m_targets.takesWork(*target) && !target->failures().isEjected()) {
                 regions[region.region].slots += target->load().slots() * (target->isCold(now) ? coldSlots : 1);
             }
         }
     }
-    const std::map<RegionId, Demand> demands =
-        m_demandSource != nullptr ? m_demandSource->demandFor(id) : std::map<RegionId, Demand>();
-    for (const auto &[callerRegion, demand] : demands) {
+    for (const auto &[callerRegion, demand] : regionDemands(id)) {
         if (const auto own = regions.find(callerRegion); own != regions.end()) {
             own->second.demand = demand.free;
         }
@@ -428,16 +432,44 @@
     return RequestQueueing::retryAt(request.times(), m_random.unit(), m_loop.now());
 }
 
-ServiceDemands RequestDispatcher::demand()
+void RequestDispatcher::noteRateLimit(GatewayTarget &target, std::optional<double> requestsPerSecond)
+{
+    const TimePoint now = m_loop.now();
+    if (!target.rateLimit().noteNamed(requestsPerSecond, m_random.unit(), now)) {
+        return;
+    }
+    const double share = rateShare(target.entry().service, target.locality().region);
+    target.rateLimit().setShare(share, now);
+    logEvent(GatewayEvents::targetLimited,
+             { { "target", target.id() }, { "requestsPerSecond", requestsPerSecond.value_or(-1) }, { "share", share } });
+}
+
+double RequestDispatcher::rateShare(const ServiceId &service, const RegionId &region)
+{
+    return RateShare::ofTarget(region, { m_ownLocality.region, demandOf(serviceOf(service)) }, regionDemands(service),
+                               m_targets.vms());
+}
+
+std::map<RegionId, Demand> RequestDispatcher::regionDemands(const ServiceId &service)
+{
+    return m_demandSource != nullptr ? m_demandSource->demandFor(service) : std::map<RegionId, Demand>();
+}
+
+Demand RequestDispatcher::demandOf(Service &service) const
 {
     const TimePoint now = m_loop.now();
+    Demand demand { service.freeDemand.perSecond(now), {} };
+    for (auto &[region, meter] : service.boundDemand) {
+        demand.bound[region] = meter.perSecond(now);
+    }
+    return demand;
+}
+
+ServiceDemands RequestDispatcher::demand()
+{
     ServiceDemands demands;
     for (auto &[id, service] : m_services) {
-        Demand &demand = demands[id];
-        demand.free = service.freeDemand.perSecond(now);
-        for (auto &[region, meter] : service.boundDemand) {
-            demand.bound[region] = meter.perSecond(now);
-        }
+        demands[id] = demandOf(service);
     }
     return demands;
 }
--- a/Libraries/LibGateway/RequestDispatcher.h
+++ b/Libraries/LibGateway/RequestDispatcher.h
@@ -37,6 +37,8 @@
     void capacityChanged(const ServiceId &service);
     /// Updates the estimates of the target and the route from an answer.
     void noteAnswer(const GatewayRequest &request, RequestAttempt &attempt);
+    /// An answer of the target asked all VMs for at most so many requests a second, or for no limit.
+    void noteRateLimit(GatewayTarget &target, std::optional<double> requestsPerSecond);
     /// Updates the estimates of the target from an attempt that brought no answer in time.
     void noteTimeout(RequestAttempt &attempt);
     /// When a refused caller may come back with the best prospect.
@@ -78,8 +80,13 @@
         bool isSpillover { false }; ///< The target is outside the region that the weights chose.
     };
 
+    /// Returns the fraction of a target's rate that this VM may use, for a target of the service in the region.
+    double rateShare(const ServiceId &service, const RegionId &region);
+    std::map<RegionId, Demand> regionDemands(const ServiceId &service);
     Service &serviceOf(const ServiceId &id);
     void noteDemand(Service &service, const GatewayRequest &request);
+    /// Returns the demand of this VM's callers for the service.
+    Demand demandOf(Service &service) const;
     /// Returns the best target now; null if none takes the request.
     Choice choose(const GatewayRequest &request);
     /// Returns the regions that may run the request and have a target for it.
--- a/Libraries/LibGateway/TargetRegistry.h
+++ b/Libraries/LibGateway/TargetRegistry.h
@@ -49,8 +49,13 @@
     bool takesWork(const GatewayTarget &target) const;
     /// Closes idle connections that the targets may close soon.
     void closeIdle();
-    /// Sets the VMs among which the limits of cold targets are divided.
+    /// Sets the VMs among which the limits of targets are divided.
     void applyVms(const VmsByRegion &vms, const VmId &own);
+    /// Returns the VMs among which the limits of targets are divided.
+    const VmsByRegion &vms() const
+    {
+        return m_vms;
+    }
     /// Sets the limits of cold targets.
     void applyColdStart(const RefPointer<const ServingRules> &rules, const ColdStartSettings &settings);
 
--- a/Libraries/LibGateway/WireNames.h
+++ b/Libraries/LibGateway/WireNames.h
@@ -15,6 +15,7 @@
     std::string expectedTarget; ///< Header with the id of the only target that may run the request.
     std::string seal; ///< Header by which a target confirms that an answer is its own.
     std::string load; ///< Header of an answer: requests running, waiting, and slots.
+    std::string rateLimit; ///< Header of an answer: requests a second that the target takes from all VMs together.
     std::string notRun; ///< Header of an answer that says that the target has not run the request.
     std::string coldTime; ///< Header of a health answer: how long the target stays cold.
     std::string targetId; ///< Header of a health answer: the id of the target that answers.
--- a/Libraries/LibSteering/VmsByRegion.cpp
+++ b/Libraries/LibSteering/VmsByRegion.cpp
@@ -21,6 +21,14 @@
     }
 }
 
+std::size_t VmsByRegion::vmCount(const RegionId &region) const
+{
+    const auto found = std::find_if(m_regions.begin(), m_regions.end(), [&region](const Region &candidate) {
+        return candidate.id == region;
+    });
+    return found == m_regions.end() ? 0 : found->vms.size();
+}
+
 std::vector<RendezvousCandidate> VmsByRegion::highestRanked(std::uint64_t keyHash, std::size_t size) const
 {
     using Ranked = std::pair<std::uint64_t, const Vm *>;
--- a/Libraries/LibSteering/VmsByRegion.h
+++ b/Libraries/LibSteering/VmsByRegion.h
@@ -27,6 +27,7 @@
     {
         return m_vmCount;
     }
+    std::size_t vmCount(const RegionId &region) const;
     std::size_t regionCount() const
     {
         return m_regions.size();
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -79,6 +79,7 @@
         names.expectedTarget = "Expected-Target";
         names.seal = "Seal";
         names.load = "Load";
+        names.rateLimit = "Rate-Limit";
         names.notRun = "Not-Run";
         names.coldTime = "Cold-Ms";
         names.targetId = "Target-Id";
