LibSteering, Platform: Leave out target entries with numbers that no target has

Reported by other operators: another writer's odd entry ended the machines that read the list, or stopped them following it. Deep nesting and a port out of range were rejected before.

The check of an entry stands once, in TargetListEntry, and also guards what other VMs tell: an address that can't be parsed threw in the event loop there.

--- a/Libraries/LibPeer/SourceUpdateCodec.cpp
+++ b/Libraries/LibPeer/SourceUpdateCodec.cpp
@@ -72,6 +72,9 @@
     update.change.digest = message.digest();
     for (const peer::Target &target : message.changed()) {
         update.change.changed.push_back(decodeTarget(target, now));
+        if (!update.change.changed.back().invalidMember().empty()) {
+            return std::nullopt;
+        }
     }
     for (const std::string &id : message.removed()) {
         update.change.removed.emplace_back(id);
--- a/Libraries/LibPeer/TargetSyncReplyCodec.cpp
+++ b/Libraries/LibPeer/TargetSyncReplyCodec.cpp
@@ -116,7 +116,7 @@
     target.coldUntil = now + Milliseconds(wire.cold_left());
     target.startedAtMilliseconds = wire.started();
     target.sequence = wire.sequence();
-    return target;
+    return target.invalidMember().empty() ? std::optional(target) : std::nullopt;
 }
 
 } // namespace
--- a/Libraries/LibSteering/TargetListEntry.h
+++ b/Libraries/LibSteering/TargetListEntry.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace Sapphire {
 
@@ -22,6 +23,10 @@
     TimePoint coldUntil {};
     std::int64_t startedAtMilliseconds { 0 }; ///< Unix time of its start; a later one means a new process.
     std::uint64_t sequence { 0 }; ///< Counts the entries that the process has written.
+
+    /// Returns the name of a member that no target can have, or an empty text. Entries come from other processes, also
+    /// from faulty ones.
+    std::string_view invalidMember() const;
 };
 
 } // namespace Sapphire
--- a/Tests/Platform/TestRulesFormat.cpp
+++ b/Tests/Platform/TestRulesFormat.cpp
@@ -118,12 +118,32 @@
     CHECK(!target(R"({"service":)" + std::string(depth, '[')));
 }
 
+TEST_CASE("An entry with a number that no target can have is rejected")
+{
+    // Guards against a faulty entry whose number wraps round, overflows a time, or makes a region seem to have room for
+    // all requests.
+    for (const std::string slots :
+         { "4294967297", "9223372036854775807", "18446744073709551615", "1e30", "1e999", "2147483647", "-1", "9.5" }) {
+        CAPTURE(slots);
+        CHECK(!target(changed("\"slots\":9", "\"slots\":" + slots)));
+    }
+    for (const std::string time : { "1e300s", "9223372036854775807ms", "1e18s", "-1s", "soon" }) {
+        CAPTURE(time);
+        CHECK(!target(changed("1.5s", time)));
+    }
+    CHECK(!target(changed("\"sequence\":4", "\"sequence\":-4")));
+    CHECK(!target(changed("\"sequence\":4", "\"sequence\":1e25")));
+    CHECK(!target(changed("1790254589050", "1e40")));
+    CHECK(target(changed("\"sequence\":4,", "")));
+}
+
 TEST_CASE("A target's address must be an IPv4 address and a port")
 {
     // Guards against a host name whose resolution holds up the reading of all targets, and against an invalid port.
     CHECK(target(targetText));
-    for (const char *address : { "targets.example:8080", "10.128.0.9", "10.128.0.9:0", "10.128.0.9:99999",
-                                 "10.128.0.9:80x", "[::1]:8080", ":8080" }) {
+    for (const char *address :
+         { "targets.example:8080", "10.128.0.9", "10.128.0.9:0", "10.128.0.9:99999", "10.128.0.9:80x", "[::1]:8080",
+           ":8080", "10.128.0.9:-80", "10.128.0.9:65536", "10.128.0.256:80", "10.128.-0.9:80", "10.128.9:80", "" }) {
         CAPTURE(address);
         CHECK(!target(changed("10.128.0.9:8080", address)));
     }
