TestLibGateway: Cut an answer at each byte of its head

Reported by other operators: clients got a 200 with an empty or short body after a target had stopped in the middle of its answer's head. It can't happen here: the head of an answer is delivered only when it is complete, and a connection that ends before breaks the attempt.

--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -216,6 +216,26 @@
     CHECK(!isCompleteSuccess);
 }
 
+TEST_CASE("An answer that ends within its head never reaches the caller as a success")
+{
+    // Guards against a 200 with an empty or short body for an answer of which not even the head has arrived.
+    for (const std::string framing : { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+        const std::string head = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\n" + framing + "\r\n";
+        for (std::size_t cut = 1; cut < head.size(); ++cut) {
+            ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
+                ScriptedTarget::readHead(socket);
+                ScriptedTarget::write(socket, head.substr(0, cut));
+            });
+            GatewayFixture fixture;
+            fixture.applyRules();
+            fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+            CAPTURE(framing);
+            CAPTURE(cut);
+            CHECK(fixture.call("POST", "/book/a").status == 502);
+        }
+    }
+}
+
 TEST_CASE("A large answer is streamed, and one that is truncated is aborted")
 {
     // Guards against answers that fill the memory, and against a truncated answer that ends like a complete one.
