LibGateway: Send no target a request that a planned stop would cut

Reported by other operators: requests that came late in a planned stop were passed on and cut at its end, among them bookings. But a request that had come before and waited for a slot, or whose body or token came late, was still sent to a target shortly before the end, and then ended as may have run.

A stopping VM now counts its own end as the time by which a waiting request must be answered, so that the usual rules refuse what can't be, as not run, while its caller can still go to another VM. What arrives whole only after the VM has begun to refuse is refused as well.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -167,7 +167,8 @@
     const TimePoint now = m_loop.now();
     m_refuseFrom = Deadline::after(now, scaled(m_settings.stopTimeout, acceptingPart));
     logEvent(GatewayEvents::gatewayLeaving, { { "vm", m_settings.vm }, { "requests", m_active.size() } });
-    m_stopTimer.start(Deadline::after(now, scaled(m_settings.stopTimeout, stayingPart)));
+    m_stopsAt = Deadline::after(now, scaled(m_settings.stopTimeout, stayingPart));
+    m_stopTimer.start(m_stopsAt);
 }
 
 void Gateway::answerRemaining()
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -85,6 +85,11 @@
     }
     /// Whether new requests are refused because the process is about to stop.
     bool refusesNewRequests() const;
+    /// When a stopping VM answers all requests that still run; never if it isn't stopping.
+    Deadline stopsAt() const
+    {
+        return m_stopsAt;
+    }
     bool mayRetry(const ServiceId &service);
     /// Returns when a caller may retry a request if the reason of its refusal ends within moments or concerns this VM
     /// only.
@@ -132,6 +137,7 @@
     Timer m_exitTimer;
     bool m_hasTargets { false };
     bool m_isLeaving { false };
+    Deadline m_stopsAt { Deadline::never() };
     Deadline m_refuseFrom; ///< When a stopping VM begins to refuse new requests.
     std::function<void()> m_onStopped;
 };
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -138,7 +138,7 @@
     RequestTimes times;
     times.arrivedAt = m_arrivedAt;
     times.wantedBy = Deadline::after(m_arrivedAt, m_route->targetLatency);
-    times.giveUpAt = m_giveUpAt;
+    times.giveUpAt = m_giveUpAt.earlier(m_gateway.stopsAt());
     times.callerDeadline = m_caller.deadline;
     times.timeout = m_route->timeout;
     return times;
@@ -215,6 +215,11 @@
         refuse(RefusalReason::SuspectedCrash, m_verdict, "targets died while they ran this request");
         return;
     }
+    if (m_attempts == 0 && m_gateway.refusesNewRequests()) {
+        // Its body or its customer's token came late in the stop, and an answer may not come before its end.
+        refuse(RefusalReason::Draining, Verdict::NotRun, "this VM is stopping", m_gateway.shortRetryTime());
+        return;
+    }
     m_state = State::Waiting;
     m_gateway.dispatcher().submit(*this);
 }
--- a/Tests/LibGateway/TestGatewayTimes.cpp
+++ b/Tests/LibGateway/TestGatewayTimes.cpp
@@ -294,6 +294,53 @@
     stopped.wait();
 }
 
+TEST_CASE("A planned stop sends no target a booking that it would have to cut")
+{
+    // Guards against bookings that are passed on late in a stop and cut at its end, so that nobody knows if they ran.
+    std::atomic<int> begun { 0 };
+    ScriptedTarget target(answering([&](const std::string &) {
+        ++begun;
+        std::this_thread::sleep_for(Milliseconds(650));
+        return soundAnswer("finished");
+    }));
+    GatewayFixture fixture;
+    fixture.applyRules(Milliseconds(10'000));
+    TargetListEntry entry = GatewayFixture::targetEntry("t1", target.address());
+    entry.slots = 1;
+    fixture.applyTargets({ entry });
+    const auto book = [&fixture] {
+        return std::async(std::launch::async, [&fixture] {
+            return fixture.call("POST", "/book/a");
+        });
+    };
+    std::future<CallerAnswer> running = book();
+    while (begun == 0) {
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    // One slot and its queue take three requests; the others wait at the gateway.
+    std::vector<std::future<CallerAnswer>> waiting;
+    for (int i = 0; i < 4; ++i) {
+        waiting.push_back(book());
+    }
+    Poco::Net::StreamSocket slow = fixture.connect();
+    fixture.send(slow, "POST /book/slow HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(50));
+    const int begunBefore = begun;
+    const std::future<void> stopped = fixture.leave();
+    CHECK(running.get().body == "finished");
+    fixture.send(slow, "body");
+    const CallerAnswer late = fixture.receive(slow);
+    CHECK(late.status == 503);
+    CHECK(late.has("Sapphire-Verdict: not-run\r\n"));
+    for (std::future<CallerAnswer> &request : waiting) {
+        const CallerAnswer answer = request.get();
+        CHECK(answer.status == 503);
+        CHECK(answer.has("Sapphire-Verdict: not-run\r\n"));
+    }
+    stopped.wait();
+    CHECK(begun == begunBefore);
+}
+
 TEST_CASE("A planned stop serves requests on connections that are already open")
 {
     // Guards against a connection that is closed while the caller's request is on its way.
