LibSteering, LibGateway: Measure demand and identify objects in places of their own

What measures a VM's demand becomes DemandMeter, what tells objects apart becomes RequestObject. A VM's share of limited targets is computed once for a region in each round rather than once for each target.

--- a/Libraries/LibGateway/RequestDispatcher.cpp
+++ b/Libraries/LibGateway/RequestDispatcher.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Hash.h>
 #include <LibGateway/Gateway.h>
 #include <LibGateway/GatewayEvents.h>
+#include <LibGateway/RequestObject.h>
 #include <LibSteering/CandidateSample.h>
 #include <LibSteering/RateShare.h>
 
@@ -23,40 +24,15 @@
 // This part of the requests may spill over to another region than the weights chose, for lack of capacity there. The
 // weights follow a sudden peak only slowly, and a region's requests must not all change their region at once.
 constexpr RatioBudgetSettings spilloverBudget { 0.05, 0, Milliseconds(2'000) };
-// An object handled within the first time is likely to be still in the target's cache, one handled within the second
-// may be: that depends on how many other objects the target handles.
-constexpr Milliseconds recentTime { 5'000 };
-constexpr Milliseconds earlierTime { 60'000 };
 // In the weights of regions, the slots of a cold target count for this part.
 constexpr double coldSlots = 0.3;
 // From this probability on, a target is assumed to have an object in its cache.
 constexpr double certainProbability = 0.85;
 
-CacheExpectation expectationAt(TimePoint lastHandled, TimePoint now)
-{
-    if (now - lastHandled < recentTime) {
-        return CacheExpectation::Recent;
-    }
-    return now - lastHandled < earlierTime ? CacheExpectation::Earlier : CacheExpectation::Unlikely;
-}
-
-/// Returns the identity of a request's object among those of its route.
-std::uint64_t objectKey(const GatewayRequest &request)
-{
-    return stableHash(request.route().id.text() + "\n" + request.caller().object);
-}
-
-/// Returns the position in [0, 1) of an object among those of its service.
-double positionOf(const std::string &object)
-{
-    constexpr double span = 18446744073709551616.0;
-    return static_cast<double>(stableHash("position " + object)) / span;
-}
-
 } // namespace
 
 RequestDispatcher::Service::Service(const RegionId &own)
-    : regionWeights(own, {}), spillover(spilloverBudget), freeDemand(demandMemory)
+    : regionWeights(own, {}), spillover(spilloverBudget), demand(demandMemory)
 {
 }
 
@@ -96,7 +72,7 @@
     const TimePoint now = m_loop.now();
     if (!request.isRetry()) {
         service.spillover.noteRequest(now);
-        noteDemand(service, request);
+        service.demand.add(m_processingTimes.warm(request.route()), request.onlyRegion(), now);
     }
     const Choice choice = choose(request);
     if (choice.target && RequestQueueing::isUnmeetable(request.times(), forecastOf(request, choice), now)) {
@@ -110,15 +86,6 @@
     }
 }
 
-void RequestDispatcher::noteDemand(Service &service, const GatewayRequest &request)
-{
-    const double work = std::chrono::duration<double>(m_processingTimes.warm(request.route())).count();
-    const std::optional<RegionId> region = request.onlyRegion();
-    RateMeter &meter =
-        region ? service.boundDemand.try_emplace(*region, demandMemory).first->second : service.freeDemand;
-    meter.add(work, m_loop.now());
-}
-
 AnswerForecast RequestDispatcher::forecastOf(const GatewayRequest &request, const Choice &choice) const
 {
     return { choice.forecast.time, choice.forecast.hasFreeSlot, m_processingTimes.isKnown(request.route()) };
@@ -375,9 +342,11 @@
     const TimePoint now = m_loop.now();
     std::map<RegionId, RegionLoad> regions;
     for (const RegionTargets &region : m_targets.regionsOf(id)) {
+        std::optional<double> share;
         for (const RefPointer<GatewayTarget> &target : region.targets) {
             if (target->rateLimit().rate()) {
-                target->rateLimit().setShare(rateShare(id, region.region), now);
+                share = share ? share : rateShare(id, region.region);
+                target->rateLimit().setShare(*share, now);
             }
             if (m_targets.takesWork(*target) && !target->failures().isEjected()) {
                 regions[region.region].slots += target->load().slots() * (target->isCold(now) ? coldSlots : 1);
@@ -440,14 +409,15 @@
     }
     const double share = rateShare(target.entry().service, target.locality().region);
     target.rateLimit().setShare(share, now);
-    logEvent(GatewayEvents::targetLimited,
-             { { "target", target.id() }, { "requestsPerSecond", requestsPerSecond.value_or(-1) }, { "share", share } });
+    logEvent(
+        GatewayEvents::targetLimited,
+        { { "target", target.id() }, { "requestsPerSecond", requestsPerSecond.value_or(-1) }, { "share", share } });
 }
 
 double RequestDispatcher::rateShare(const ServiceId &service, const RegionId &region)
 {
-    return RateShare::ofTarget(region, { m_ownLocality.region, demandOf(serviceOf(service)) }, regionDemands(service),
-                               m_targets.vms());
+    return RateShare::ofTarget(region, { m_ownLocality.region, serviceOf(service).demand.demand(m_loop.now()) },
+                               regionDemands(service), m_targets.vms());
 }
 
 std::map<RegionId, Demand> RequestDispatcher::regionDemands(const ServiceId &service)
@@ -455,21 +425,11 @@
     return m_demandSource != nullptr ? m_demandSource->demandFor(service) : std::map<RegionId, Demand>();
 }
 
-Demand RequestDispatcher::demandOf(Service &service) const
-{
-    const TimePoint now = m_loop.now();
-    Demand demand { service.freeDemand.perSecond(now), {} };
-    for (auto &[region, meter] : service.boundDemand) {
-        demand.bound[region] = meter.perSecond(now);
-    }
-    return demand;
-}
-
 ServiceDemands RequestDispatcher::demand()
 {
     ServiceDemands demands;
     for (auto &[id, service] : m_services) {
-        demands[id] = demandOf(service);
+        demands[id] = service.demand.demand(m_loop.now());
     }
     return demands;
 }
--- a/Libraries/LibGateway/RequestDispatcher.h
+++ b/Libraries/LibGateway/RequestDispatcher.h
@@ -5,9 +5,9 @@
 #include <LibGateway/RegionDemand.h>
 #include <LibGateway/TargetRegistry.h>
 #include <LibSteering/CacheExpectation.h>
+#include <LibSteering/DemandMeter.h>
 #include <LibSteering/Placement.h>
 #include <LibSteering/ProcessingTimes.h>
-#include <LibSteering/RateMeter.h>
 #include <LibSteering/RatioBudget.h>
 #include <LibSteering/RegionWeights.h>
 #include <LibSteering/RequestQueueing.h>
@@ -59,8 +59,7 @@
         std::size_t scanPosition { 0 }; ///< Position in the queue from which the next scan begins.
         RegionWeights regionWeights;
         RatioBudget spillover; ///< Requests sent to another region than the weights chose.
-        RateMeter freeDemand;
-        std::map<RegionId, RateMeter> boundDemand;
+        DemandMeter demand;
     };
 
     /// The options for a request in some regions, and the targets that they stand for.
@@ -84,9 +83,6 @@
     double rateShare(const ServiceId &service, const RegionId &region);
     std::map<RegionId, Demand> regionDemands(const ServiceId &service);
     Service &serviceOf(const ServiceId &id);
-    void noteDemand(Service &service, const GatewayRequest &request);
-    /// Returns the demand of this VM's callers for the service.
-    Demand demandOf(Service &service) const;
     /// Returns the best target now; null if none takes the request.
     Choice choose(const GatewayRequest &request);
     /// Returns the regions that may run the request and have a target for it.
--- a/Libraries/LibPeer/CrashSuspectCodec.cpp
+++ b/Libraries/LibPeer/CrashSuspectCodec.cpp
@@ -18,8 +18,8 @@
 {
     std::vector<CrashSuspect> suspects;
     for (const peer::CrashSuspect &entry : datagram.suspects()) {
-        suspects.push_back({ Fingerprint(entry.fingerprint()), now - Milliseconds(entry.age()),
-                             static_cast<int>(entry.crashes()) });
+        suspects.push_back(
+            { Fingerprint(entry.fingerprint()), now - Milliseconds(entry.age()), static_cast<int>(entry.crashes()) });
     }
     return suspects;
 }
--- a/Tests/LibSteering/TestRateShare.cpp
+++ b/Tests/LibSteering/TestRateShare.cpp
@@ -12,8 +12,7 @@
 /// Two VMs in each of two regions.
 VmsByRegion fourVms()
 {
-    return VmsByRegion(
-        { { VmId("c1"), cuyo }, { VmId("c2"), cuyo }, { VmId("n1"), norte }, { VmId("n2"), norte } });
+    return VmsByRegion({ { VmId("c1"), cuyo }, { VmId("c2"), cuyo }, { VmId("n1"), norte }, { VmId("n2"), norte } });
 }
 
 Demand operator*(const Demand &demand, double factor)
