--- a/Tests/StandIns/WireTarget/WireTarget.cpp
+++ b/Tests/StandIns/WireTarget/WireTarget.cpp
@@ -49,6 +49,10 @@
         m_target->noteRun({ header("X-Attempt-Id"), m_head.target, header("X-Tenant"), m_target->id(),
                             m_target->m_loop.clock().now() });
         const WireTargetBehaviour behaviour = m_target->m_behaviour;
+        if (!behaviour.crashPath.empty() && m_head.target == behaviour.crashPath) {
+            m_target->crashAndRestart();
+            return;
+        }
         if (!behaviour.isSilent) {
             m_timer.start(Deadline::after(m_target->m_loop.clock().now(), behaviour.serviceTime));
         }
@@ -122,7 +126,9 @@
 };
 
 WireTarget::WireTarget(EventLoop &loop, std::string id, const std::string &ip)
-    : m_loop(loop), m_id(std::move(id)), m_address(ip + ":0")
+    : m_loop(loop), m_id(std::move(id)), m_address(ip + ":0"), m_restartTimer(loop, [this] {
+        restart();
+    })
 {
     listen();
 }
@@ -155,6 +161,14 @@
     m_listener.reset();
 }
 
+void WireTarget::crashAndRestart()
+{
+    m_loop.later([this] {
+        crash();
+        m_restartTimer.start(Deadline::after(m_loop.clock().now(), m_behaviour.downTime));
+    });
+}
+
 void WireTarget::restart()
 {
     crash();
--- a/Tests/StandIns/WireTarget/WireTarget.h
+++ b/Tests/StandIns/WireTarget/WireTarget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibNet/HttpListener.h>
+#include <LibNet/Timer.h>
 
 #include <deque>
 #include <memory>
@@ -29,6 +30,8 @@
     int queue { 12 }; ///< Requests that may wait for a slot; more are refused with 503.
     bool isFailing { false }; ///< Answers all requests with 500.
     bool isSilent { false }; ///< Runs requests and answers none.
+    std::string crashPath; ///< A request for this path crashes the target as it starts to run; none if empty.
+    Milliseconds downTime { 400 }; ///< From a crash that a request caused until the target starts again.
 };
 
 /// Simulates one target of the users' platform over HTTP: runs requests in slots, queues a few more, refuses the rest
@@ -52,6 +55,8 @@
     void crash();
     /// Starts again at the same address with the same id.
     void restart();
+    /// Crashes after the current round of events, and starts again after the down time.
+    void crashAndRestart();
     /// Any thread may call these.
     void setBehaviour(const WireTargetBehaviour &behaviour);
     std::vector<WireTargetRun> runs() const;
@@ -73,6 +78,7 @@
     std::unique_ptr<HttpListener> m_listener;
     std::set<RefPointer<class WireTargetHandler>> m_running;
     std::deque<RefPointer<class WireTargetHandler>> m_waiting;
+    Timer m_restartTimer;
 };
 
 } // namespace Sapphire
