LibGateway: Keep a target's rate limit when an answer's limit can't be read

Found on reading the change again: an answer with an unreadable limit counted as one without, and ended the limit that the target had named before.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -215,7 +215,9 @@
     GatewayTarget &target = attempt.target();
     target.noteAnswered();
     m_dispatcher.noteAnswer(request, attempt);
-    m_dispatcher.noteRateLimit(target, attempt.rateLimit());
+    if (attempt.rateLimit() || !attempt.namesRateLimit()) {
+        m_dispatcher.noteRateLimit(target, attempt.rateLimit());
+    }
     m_crashMonitor.noteAnswered(request.fingerprint(), m_loop.now());
     m_metrics.counter("sapphire_requests_total", "outcome=\"answered\"").add();
     m_metrics.histogram("sapphire_request_seconds").record(m_loop.now() - request.arrivedAt());
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -109,7 +109,12 @@
     {
         return m_load;
     }
-    /// The rate that the answer asks all VMs together to keep to, in requests a second; nothing if it names none.
+    /// Whether the answer asks all VMs together to keep to a rate, readable or not.
+    bool namesRateLimit() const
+    {
+        return m_answer.header(m_names.rateLimit).has_value();
+    }
+    /// The rate that the answer asks for, in requests a second; nothing if it names none that can be read.
     std::optional<double> rateLimit() const;
     std::size_t pendingOutput() const
     {
--- a/Tests/LibGateway/TestLimitedTargets.cpp
+++ b/Tests/LibGateway/TestLimitedTargets.cpp
@@ -38,6 +38,25 @@
     }
 }
 
+TEST_CASE("An answer whose rate limit can't be read does not end the limit that the target has named")
+{
+    // Guards against a target in need that gets its usual load again because of one odd header.
+    std::atomic<int> requests { 0 };
+    ScriptedTarget target(answering([&](const std::string &) {
+        const std::string limit = requests++ == 0 ? "1.5" : "odd";
+        return soundAnswer("read", "Request-Id: r1\r\nRate-Limit: " + limit + "\r\n");
+    }));
+    GatewayFixture fixture;
+    fixture.applyRules(Milliseconds(200));
+    fixture.applyTargets({ GatewayFixture::targetEntry("t1", target.address()) });
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (std::chrono::steady_clock::now() < end) {
+        fixture.call("GET", "/read/a");
+    }
+    CHECK(requests > 1);
+    CHECK(requests <= 1.5 * 1.5 * 4 + 5);
+}
+
 TEST_CASE("A rate limit that can't be read changes nothing")
 {
     // Guards against a target that gets nothing, or is taken out, because of one odd header.
