--- a/Tests/LibGateway/TestGatewayTimes.cpp
+++ b/Tests/LibGateway/TestGatewayTimes.cpp
@@ -317,9 +317,11 @@
     while (begun == 0) {
         std::this_thread::sleep_for(Milliseconds(5));
     }
-    // One slot and its queue take three requests; the others wait at the gateway.
+    // The target has one slot, so that these wait.
+    constexpr std::size_t waitingCount = 4;
     std::vector<std::future<CallerAnswer>> waiting;
-    for (int i = 0; i < 4; ++i) {
+    waiting.reserve(waitingCount);
+    for (std::size_t i = 0; i < waitingCount; ++i) {
         waiting.push_back(book());
     }
     Poco::Net::StreamSocket slow = fixture.connect();
