--- a/Tests/LibSteering/TestTargetRateLimit.cpp
+++ b/Tests/LibSteering/TestTargetRateLimit.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr TimePoint start { Milliseconds(1'000'000) };
-constexpr Milliseconds step { 20 };
+constexpr Milliseconds step { 50 };
 constexpr std::chrono::seconds window { 4 };
 
 /// What a target may get in a window: one and a half times its limit, and five requests.
