--- a/Tests/Upgrade/TestEntryUpgrade.cpp
+++ b/Tests/Upgrade/TestEntryUpgrade.cpp
@@ -1,4 +1,5 @@
 #include <Entry/EntryCallers.h>
+#include <LibCore/Duration.h>
 #include <Upgrade/ReleasePrograms.h>
 
 #include <algorithm>
@@ -53,7 +54,13 @@
     int refused = 0;
     for (const CallerRecord &record : records) {
         ++results[record.wasRefusedConnection ? "connection refused" : "status " + std::to_string(record.status)];
-        cut += record.status == 0 && !record.wasRefusedConnection ? 1 : 0;
+        if (record.status == 0 && !record.wasRefusedConnection) {
+            ++cut;
+            std::cout << "  no answer: " << record.id << " " << record.method << " at " << record.vm
+                      << ", used connection " << record.isOnUsedConnection << ", sent after "
+                      << millisecondsBetween(records.front().sentAt, record.sentAt) << " ms, ended after "
+                      << millisecondsBetween(record.sentAt, record.endedAt) << " ms" << std::endl;
+        }
         refused += record.status != 0 && record.status != 200 ? 1 : 0;
     }
     for (const auto &[result, count] : results) {
