Review: Show that given-up orders with long bodies still run

Cause: a VM that has stopped reading a long body doesn't notice that its client closes the connection.

--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -934,6 +934,7 @@
     }
     struct Run
     {
+        double arrivedAt;
         double at;
         std::string id;
         std::string tenant;
@@ -966,7 +967,8 @@
         if (call.header("x-target-instance") != m_id) {
             return connection.send(answerText(421, "X-Not-Executed: 1\r\n" + common(call), ""));
         }
-        const double until = now() + std::atof(call.header("x-deadline-ms").c_str()) / 1000;
+        const double arrivedAt = now();
+        const double until = arrivedAt + std::atof(call.header("x-deadline-ms").c_str()) / 1000;
         {
             std::unique_lock lock(m_mutex);
             if (m_running >= m_settings.slots && m_waiting >= m_settings.queue) {
@@ -983,7 +985,7 @@
                 return connection.send(answerText(503, "X-Not-Executed: 1\r\n" + common(call), ""));
             }
             ++m_running;
-            m_runs.push_back({ now(), call.header("x-attempt-id"), call.header("x-tenant") });
+            m_runs.push_back({ arrivedAt, now(), call.header("x-attempt-id"), call.header("x-tenant") });
         }
         m_record.line("run %s tenant %s at %s", call.header("x-attempt-id").c_str(), call.header("x-tenant").c_str(),
                       m_id.c_str());
