--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -89,11 +89,24 @@
     int m_file;
 };
 
+/// Ends the processes that the case started and removes its files. Set by the deployment.
+inline std::function<void()> cleanUp;
+
+/// Ends the case. Threads of the stand-ins still run, so that nothing is destroyed.
+[[noreturn]] inline void finish(int result)
+{
+    if (cleanUp) {
+        cleanUp();
+    }
+    std::fflush(stdout);
+    ::_exit(result);
+}
+
 /// Ends the case with exit code 2: it couldn't run.
 [[noreturn]] inline void cannotRun(const std::string &reason)
 {
     std::fprintf(stderr, "the case couldn't run: %s\n", reason.c_str());
-    std::exit(2);
+    finish(2);
 }
 
 // ---------------------------------------------------------------- HTTP
@@ -584,7 +597,7 @@
         }
         m_path = name;
     }
-    ~Folder()
+    void remove() const
     {
         for (const std::string &file : m_files) {
             ::unlink(file.c_str());
@@ -774,10 +787,14 @@
         std::random_device random;
         m_subnet = "127." + std::to_string(16 + random() % 200) + "." + std::to_string(random() % 250) + ".";
         m_store = std::make_unique<Store>(ip(1));
-    }
-    ~Deployment()
-    {
-        m_vms.clear();
+        cleanUp = [this] {
+            for (const auto &vm : m_vms) {
+                if (vm->process) {
+                    vm->process->kill();
+                }
+            }
+            m_folder.remove();
+        };
     }
     std::string ip(int host) const
     {
@@ -831,15 +848,11 @@
             }
         }
     }
-    void setExtraZones(std::map<std::string, std::string> zones)
-    {
-        m_zones = std::move(zones);
-    }
 
 private:
     std::string settingsText(const Vm &vm) const
     {
-        std::map<std::string, std::string> zones = m_zones;
+        std::map<std::string, std::string> zones;
         for (const auto &other : m_vms) {
             zones[other->zone] = other->region;
         }
@@ -871,7 +884,6 @@
     std::string m_program;
     std::string m_subnet;
     Folder m_folder;
-    std::map<std::string, std::string> m_zones;
     std::unique_ptr<Store> m_store;
     std::vector<std::unique_ptr<Vm>> m_vms;
 };
