--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -6,13 +6,14 @@
 namespace {
 
 constexpr int upstreamCount = 6;
-constexpr int faultyUpstreams = 3; // 0.5 of the service; the site's largest dose is 0.6.
-constexpr double truncatedPart = 0.03; // The site's largest dose.
-constexpr double faultSeconds = 5.5; // The site's largest dose.
+// One entry of the site file: garble, how = "", share = 0.42, x = 0.024, for_s = 5.8.
+constexpr int faultyUpstreams = 2; // 0.33 of the service.
+constexpr double truncatedPart = 0.024;
+constexpr double faultSeconds = 5.8;
 constexpr double timeoutSeconds = 1.5;
 constexpr double slackSeconds = 0.5;
 constexpr double deadlineSeconds = 4.0;
-constexpr int clientCount = 30;
+constexpr int clientCount = 60;
 
 const char *const rules =
     R"({"version":"00000001","routes":[{"name":"status","host":"h.example","prefix":"/status/","kind":"idempotent",)"
