LibGateway: End an answer that its target doesn't complete in time

Cause: GatewayRequest::giveUp() did nothing in the state Answering and started no other timer. An answer reaches that state 50 ms after its head, complete or not. The same timer ended requests in all other states.

An answer that stops in its head ended in time, and the caller had read all that was there, which rules out a timer that isn't started and a caller that is waited for.

Change: such an answer gets 200 ms more, since its last bytes may be on their way, and is then reset on both sides. The target counts as one that did not answer in time, unless the caller was the slow one. It works since the end no longer depends on what the target does.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -21,6 +21,9 @@
 constexpr Milliseconds freshIdleTime { 1'000 };
 // Limit of the attempts of one request at targets that accept no connection.
 constexpr int mostUnconnectedAttempts = 3;
+// An answer whose head has come may still arrive for this long after the request's time is up. A caller has to have the
+// end of an answer half a second after the route's timeout.
+constexpr Milliseconds lateAnswerTime { 200 };
 constexpr int firstServerError = 500;
 
 bool contains(const std::vector<RegionId> &regions, const RegionId &region)
@@ -311,12 +314,7 @@
     logFailure(attempt, failure);
     m_attempt.reset();
     if (m_state == State::Answering) {
-        logEvent(GatewayEvents::answerAborted, { { "request", m_caller.id }, { "target", attempt.target().id() } });
-        HttpServerConnection *const connection = m_connection;
-        end();
-        if (connection != nullptr) {
-            connection->abortAnswer();
-        }
+        abortAnswer(attempt, failure.detail);
         return;
     }
     if (!m_isCallerGone && maySendAgain(failure)) {
@@ -379,11 +377,7 @@
 {
     const RefPointer<GatewayRequest> self(this);
     if (m_state == State::Answering) {
-        // The answer is on its way, and the caller decides how long to read it. If the caller has left, nobody does.
-        if (m_isCallerGone) {
-            m_attempt->abandon();
-            end();
-        }
+        giveUpAnswer();
         return;
     }
     if (m_state == State::AwaitingQuota || m_state == State::ReadingBody || m_state == State::Waiting) {
@@ -406,6 +400,39 @@
     refuse(RefusalReason::DeadlinePassed, m_verdict, "no answer in time");
 }
 
+void GatewayRequest::giveUpAnswer()
+{
+    const RefPointer<RequestAttempt> attempt = m_attempt;
+    if (m_isCallerGone) {
+        attempt->abandon();
+        end();
+        return;
+    }
+    const Deadline answerEnd = Deadline::after(m_giveUpAt.at(), lateAnswerTime);
+    if (!answerEnd.hasPassed(m_loop.now())) {
+        m_giveUpTimer.start(answerEnd);
+        return;
+    }
+    // What the caller has not read yet keeps the rest from being read from the target, which is not to blame then.
+    const bool isCallerSlow = m_connection->pendingOutput() > 0;
+    if (!isCallerSlow) {
+        m_gateway.noteTimeout(*this, *attempt);
+    }
+    attempt->abandon();
+    abortAnswer(*attempt, isCallerSlow ? "not read by the caller in time" : "not complete in time");
+}
+
+void GatewayRequest::abortAnswer(RequestAttempt &attempt, const std::string &detail)
+{
+    logEvent(GatewayEvents::answerAborted,
+             { { "request", m_caller.id }, { "target", attempt.target().id() }, { "detail", detail } });
+    HttpServerConnection *const connection = m_connection;
+    end();
+    if (connection != nullptr) {
+        connection->abortAnswer();
+    }
+}
+
 void GatewayRequest::callerGone()
 {
     const RefPointer<GatewayRequest> self(this);
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -32,8 +32,8 @@
     void quotaGranted();
     /// The customer's quota has no token before the given time. Called by QuotaWaiters.
     void quotaDenied(Deadline nextTokenAt);
-    /// Ends the request without waiting for an answer any more, unless the answer is already being sent. Called at the
-    /// request's deadline, and by the gateway when the process stops.
+    /// Ends the request without waiting for an answer any more. An answer that is already being sent gets a little more
+    /// time, and is cut then. Called at the request's deadline, and by the gateway when the process stops.
     void giveUp();
     /// Ends the request with a refusal. Called by the dispatcher.
     void refuse(RefusalReason reason, Verdict verdict, const std::string &detail, std::optional<Deadline> retryAt = {});
@@ -111,6 +111,9 @@
     bool maySendAgain(const AttemptFailure &failure) const;
     bool retryInsteadOf(RequestAttempt &attempt);
     void failFor(const AttemptFailure &failure);
+    void giveUpAnswer();
+    /// Ends the request and resets the caller's connection, so that the answer doesn't look complete.
+    void abortAnswer(RequestAttempt &attempt, const std::string &detail);
     void logRefusal(const Refusal &refusal) const;
     void logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const;
     void logAnswer(RequestAttempt &attempt) const;
--- a/Tests/LibTarget/TestTargetExchange.cpp
+++ b/Tests/LibTarget/TestTargetExchange.cpp
@@ -175,6 +175,38 @@
     }
 }
 
+TEST_CASE("TargetExchange ends an answer that never ends at the request's deadline")
+{
+    // Guards against a caller that waits without end for a target that stops in its answer or goes on with it for ever.
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n";
+    const std::vector<std::pair<std::string, std::string>> answers {
+        { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabcde", "" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabcde", "x" },
+        { chunked, "" },
+        { chunked, "1\r\nx\r\n" },
+        { chunked + "0\r\n", "" },
+        { "HTTP/1.1 200 OK\r\nName: ", "x" },
+        { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+    };
+    for (const auto &[begin, repeated] : answers) {
+        CAPTURE(begin);
+        CAPTURE(repeated);
+        const ScriptedTarget target([begin = begin, repeated = repeated](Poco::Net::StreamSocket &socket) {
+            ScriptedTarget::readHead(socket);
+            ScriptedTarget::write(socket, begin);
+            while (!socket.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
+                ScriptedTarget::write(socket, repeated);
+            }
+        });
+        Fixture fixture(target.address());
+        const RequestHead request = fixture.head("/", Milliseconds(200));
+        checkRefusal(fixture.run(request), RefusalReason::DeadlinePassed, Verdict::MayHaveRun);
+        CHECK(fixture.clock.now() < request.deadline.at() + Milliseconds(500));
+        CHECK_FALSE(fixture.sink->isFinished);
+        CHECK(fixture.pool.openCount() == 0);
+    }
+}
+
 TEST_CASE("TargetExchange never gives a late answer to the next caller")
 {
     // Guards against the reuse of a connection on which the answer to an earlier request may still arrive.
