LibSteering, LibGateway: Limit customers before the list of VMs is known

Cause: CustomerQuotas set a customer's terms only once the list of VMs was known, and terms that aren't set read as a rate of 0, which means no limit.

Without a list nobody holds a share, so that a limited customer gets nothing from this VM; it is refused at once with 503 not-fresh and Retry-After 0.1, since it isn't over its rate. Customers without a limit are served. It works since no state is left in which a limit is known and not applied.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -86,6 +86,12 @@
            std::max(retryAt, m_gateway.shortRetryTime()));
 }
 
+void GatewayRequest::quotaUnknown()
+{
+    refuse(RefusalReason::NotFresh, Verdict::NotRun,
+           "the VMs that share the rate of " + m_customer->id.text() + " aren't known yet", m_gateway.shortRetryTime());
+}
+
 bool GatewayRequest::isBodyReady() const
 {
     return m_isBodyComplete || m_body.size() > mostKeptBody;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -32,6 +32,8 @@
     void quotaGranted();
     /// The customer's quota has no token before the given time. Called by QuotaWaiters.
     void quotaDenied(Deadline nextTokenAt);
+    /// This VM doesn't know yet whether it holds a part of the customer's quota. Called by QuotaWaiters.
+    void quotaUnknown();
     /// Ends the request without waiting for an answer any more. An answer that is already being sent gets a little more
     /// time, and is cut then. Called at the request's deadline, and by the gateway when the process stops.
     void giveUp();
--- a/Libraries/LibGateway/QuotaWaiters.cpp
+++ b/Libraries/LibGateway/QuotaWaiters.cpp
@@ -25,6 +25,10 @@
         return;
     }
     quota->noteArrival(now);
+    if (quota->isLimited() && !m_quotas.hasVms()) {
+        request.quotaUnknown();
+        return;
+    }
     Queue &queue = m_queues[customer];
     if (queue.empty() && quota->take(now)) {
         request.quotaGranted();
--- a/Libraries/LibGateway/QuotaWaiters.h
+++ b/Libraries/LibGateway/QuotaWaiters.h
@@ -32,8 +32,8 @@
     {
         m_source = &source;
     }
-    /// Admits the request at once, lets it wait or refuses it. Calls GatewayRequest::quotaGranted() or quotaDenied(),
-    /// possibly before it returns.
+    /// Admits the request at once, lets it wait or refuses it. Calls GatewayRequest::quotaGranted(), quotaDenied() or
+    /// quotaUnknown(), possibly before it returns.
     void submit(GatewayRequest &request);
     void cancel(GatewayRequest &request);
     /// Gives the available tokens to waiting requests, and refuses those that can't expect one any more.
--- a/Libraries/LibSteering/CustomerQuota.h
+++ b/Libraries/LibSteering/CustomerQuota.h
@@ -36,7 +36,8 @@
 class CustomerQuota
 {
 public:
-    /// The bucket begins empty, since an earlier process of this VM may have used what it held.
+    /// The bucket begins empty, since an earlier process of this VM may have used what it held. configure() has to be
+    /// called before take(), since without terms a customer has no limit.
     explicit CustomerQuota(TimePoint startsAt);
 
     /// `own` is the id of this VM.
--- a/Libraries/LibSteering/CustomerQuotas.cpp
+++ b/Libraries/LibSteering/CustomerQuotas.cpp
@@ -36,10 +36,10 @@
 
 void CustomerQuotas::reconfigure(TimePoint now)
 {
-    // Without the list of VMs this one can't know its share.
-    if (!m_rules || m_vms.isEmpty()) {
+    if (!m_rules) {
         return;
     }
+    // While the list of VMs is unknown, no VM holds a share of a limited customer's quota.
     for (const CustomerRules &customer : m_rules->customers()) {
         m_quotas.at(customer.id).configure(quotaTerms(customer, m_settings, m_vms), m_own, now);
     }
--- a/Libraries/LibSteering/CustomerQuotas.h
+++ b/Libraries/LibSteering/CustomerQuotas.h
@@ -17,6 +17,11 @@
     /// Sets the VMs among which quotas are divided.
     void applyVms(const VmsByRegion &vms, TimePoint now);
     void configure(const QuotaSettings &settings, TimePoint now);
+    /// Whether the VMs among which quotas are divided are known. Until then limited customers get nothing.
+    bool hasVms() const
+    {
+        return !m_vms.isEmpty();
+    }
 
     /// Returns null for an unknown customer.
     CustomerQuota *find(const CustomerId &customer);
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -30,7 +30,8 @@
 class GatewayFixture
 {
 public:
-    GatewayFixture()
+    /// The gateway knows from the start that it is the only VM, or doesn't know the list of VMs yet.
+    explicit GatewayFixture(bool knowsVms = true)
     {
         GatewaySettings settings;
         settings.vm = VmId("vm-1");
@@ -55,9 +56,9 @@
         m_thread = std::thread([this] {
             m_loop->run();
         });
-        run([this] {
-            m_gateway->applyVms(VmsByRegion({ { VmId("vm-1"), RegionId("cuyo") } }));
-        });
+        if (knowsVms) {
+            applyVms();
+        }
     }
     ~GatewayFixture()
     {
@@ -112,6 +113,13 @@
         return *m_gateway;
     }
 
+    /// Tells the gateway that it is the only VM.
+    void applyVms()
+    {
+        run([this] {
+            m_gateway->applyVms(VmsByRegion({ { VmId("vm-1"), RegionId("cuyo") } }));
+        });
+    }
     /// Routes "/read/" (idempotent) and "/book/" (not) to service "s"; "/keyed/" needs the key "secret".
     void applyRules(Milliseconds timeout = Milliseconds(1'000), double rate = 0,
                     const std::vector<RegionId> &regions = {})
