LibSteering: Give a VM no part of a target's rate while the VMs are unknown

Cause: RateShare::ofTarget() counted an unknown list of VMs as one VM, so that a VM which starts during an outage of the store, and each one like it, could send a target that names a limit the whole of its rate.

Change: without a list the part is 0. It is computed again with the weights of regions, so it follows the list soon.

After: TestLibSteering 141 of 141 cases, the limited targets of TestLibGateway 3 of 3.

--- a/Libraries/LibSteering/RateShare.cpp
+++ b/Libraries/LibSteering/RateShare.cpp
@@ -24,6 +24,9 @@
 double RateShare::ofTarget(const RegionId &targetRegion, const VmDemand &own, const std::map<RegionId, Demand> &demands,
                            const VmsByRegion &vms)
 {
+    if (vms.isEmpty()) {
+        return 0;
+    }
     double sum = 0;
     double ownRegion = 0;
     for (const auto &[region, demand] : demands) {
@@ -31,7 +34,7 @@
         sum += part;
         ownRegion += region == own.region ? part : 0;
     }
-    const double evenShare = 1.0 / static_cast<double>(std::max<std::size_t>(1, vms.vmCount()));
+    const double evenShare = 1.0 / static_cast<double>(vms.vmCount());
     if (sum < tiny || ownRegion < tiny) {
         return evenShare;
     }
--- a/Libraries/LibSteering/RateShare.h
+++ b/Libraries/LibSteering/RateShare.h
@@ -18,7 +18,7 @@
 {
 public:
     /// Returns the part of a VM, between 0 and 1, for a target in the region. `demands` holds the demand of the callers
-    /// of each region, that of the VM included.
+    /// of each region, that of the VM included. The part is 0 while the VMs are unknown.
     static double ofTarget(const RegionId &targetRegion, const VmDemand &own, const std::map<RegionId, Demand> &demands,
                            const VmsByRegion &vms);
 };
