LibNet: Drop a connection's output from memory once it is written

Cause: a StreamConnection kept its output in one string and dropped what was written only when all of it was. While more arrives before the last byte is gone, the string grows with all that has passed, though only a little waits. The bound on what waits (256 KiB) was no bound on what is kept. An idle connection also kept the memory of its largest answer.

Evidence: 100 MB through a buffer in which 10 kB wait took up 163,840,000 bytes; after 1 MB had been consumed, 1,000,000 bytes stayed. Not played on sockets: whether a target and a caller keep that pace.

Change: OutputBuffer drops what is written as soon as it is half of what it holds, so that no byte is moved more often than once for each byte written, and gives its memory back when it is empty.

A new case in TestFaultyTargets plays valid answers without end: without length, with a length, in chunks, in a chunk's size, in trailers, for callers that read and that don't.

--- a/Libraries/LibNet/StreamConnection.cpp
+++ b/Libraries/LibNet/StreamConnection.cpp
@@ -193,12 +193,12 @@
 
 void StreamConnection::flush()
 {
-    while (pendingOutput() > 0) {
-        const ssize_t count =
-            ::send(m_descriptor, m_output.data() + m_outputBegin, pendingOutput(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    while (!m_output.isEmpty()) {
+        const std::string_view waiting = m_output.waiting();
+        const ssize_t count = ::send(m_descriptor, waiting.data(), waiting.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count > 0) {
             m_hasSent = true;
-            m_outputBegin += static_cast<std::size_t>(count);
+            m_output.consume(static_cast<std::size_t>(count));
         } else if (errno == EAGAIN) {
             updateInterest();
             return;
@@ -207,12 +207,9 @@
             m_loop.later([self = RefPointer<StreamConnection>(this)] {
                 self->closeBroken();
             });
-            m_outputBegin = m_output.size();
-            break;
+            m_output.clear();
         }
     }
-    m_output.clear();
-    m_outputBegin = 0;
     updateInterest();
     if (m_isFinishing && m_isOpen) {
         ::shutdown(m_descriptor, SHUT_WR);
--- a/Libraries/LibNet/StreamConnection.h
+++ b/Libraries/LibNet/StreamConnection.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/RefCounted.h>
 #include <LibNet/EventLoop.h>
+#include <LibNet/OutputBuffer.h>
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -54,7 +55,7 @@
     /// Returns how many bytes the kernel has not accepted yet.
     std::size_t pendingOutput() const
     {
-        return m_output.size() - m_outputBegin;
+        return m_output.size();
     }
     /// Whether the kernel has accepted any byte.
     bool hasSent() const
@@ -89,8 +90,7 @@
     Poco::Net::StreamSocket m_socket;
     int m_descriptor;
     StreamConnectionListener *m_listener;
-    std::string m_output;
-    std::size_t m_outputBegin { 0 };
+    OutputBuffer m_output;
     bool m_isOpen { true };
     bool m_isConnecting { false };
     bool m_isReading { true };
--- a/Tests/LibGateway/TestFaultyTargets.cpp
+++ b/Tests/LibGateway/TestFaultyTargets.cpp
@@ -1,5 +1,9 @@
 #include <LibGateway/GatewayFixture.h>
 
+#include <Poco/Net/NetException.h>
+
+#include <array>
+
 using namespace Sapphire;
 
 namespace {
@@ -143,8 +147,28 @@
     ScriptedTarget m_target;
 };
 
+/// Reads an answer until the gateway ends the connection. Returns whether it is a refusal, or cut by a reset.
+bool endsIncomplete(Poco::Net::StreamSocket &socket)
+{
+    std::array<char, 65'536> buffer {};
+    std::string begin;
+    try {
+        for (int count = socket.receiveBytes(buffer.data(), buffer.size()); count > 0;
+             count = socket.receiveBytes(buffer.data(), buffer.size())) {
+            if (begin.empty()) {
+                begin.assign(buffer.data(), static_cast<std::size_t>(count));
+            }
+        }
+    } catch (const Poco::Net::ConnectionResetException &) {
+        return true;
+    }
+    return begin.starts_with("HTTP/1.1 502 ");
+}
+
 // What the gateway may read of an answer that is none, with what the kernel's buffers hold beyond it.
 constexpr std::size_t mostReadInVain = 8'000'000;
+// What the buffers of the kernel hold of an answer that its caller doesn't read.
+constexpr std::size_t mostHeldByCaller = 8'000'000;
 const std::string filler(10'000, 'x');
 
 } // namespace
@@ -242,6 +266,49 @@
     }
 }
 
+TEST_CASE("A valid answer without end ends with the time of its route, and is not kept for a caller that doesn't read")
+{
+    // Guards against a faulty target that fills the memory, or keeps a connection busy, with the body of an answer that
+    // it began well: its length is missing or too large, or its chunks or trailers never end.
+    struct Answer
+    {
+        std::string what;
+        std::string begin;
+        std::string repeated;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Answer> answers {
+        { "no length", head + "\r\n", filler },
+        { "length", head + "Content-Length: 99999999999\r\n\r\n", filler },
+        { "chunks", chunked, "2710\r\n" + filler + "\r\n" },
+        { "chunk without end", chunked + "fffffffffff\r\n", filler },
+        { "chunk size without end", chunked + "5\r\nbegin\r\n", std::string(10'000, '0') },
+        { "trailer line", chunked + "0\r\nName: ", filler },
+        { "trailer lines", chunked + "0\r\n", "Name: value\r\n" },
+    };
+    constexpr Milliseconds timeout { 300 };
+    for (const Answer &answer : answers) {
+        for (const bool isRead : { true, false }) {
+            CAPTURE(answer.what);
+            CAPTURE(isRead);
+            EndlessTarget target(answer.begin, answer.repeated);
+            GatewayFixture fixture;
+            fixture.applyRules(timeout);
+            fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+            Poco::Net::StreamSocket socket = fixture.connect();
+            GatewayFixture::send(socket,
+                                 "POST /book/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+                                 "Connection: close\r\n\r\n");
+            if (isRead) {
+                CHECK(endsIncomplete(socket));
+            }
+            CHECK(target.waitForEnd(timeout + Milliseconds(500)));
+            CHECK((isRead || target.written() < mostReadInVain + mostHeldByCaller));
+        }
+    }
+}
+
 TEST_CASE("An endless answer to a booking whose caller has left ends with the time of its route")
 {
     // Guards against a connection that a target keeps busy for ever, since nobody waits for the answer any more.
