--- a/Libraries/LibNet/HttpServerConnection.cpp
+++ b/Libraries/LibNet/HttpServerConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibNet/HttpServerConnection.h>
 
 #include <LibNet/ChunkedEncoding.h>
+#include <LibNet/HttpServerEvents.h>
 
 #include <Poco/Net/HTTPResponse.h>
 
@@ -157,6 +158,10 @@
 
 void HttpServerConnection::requestFailed(const Error &error)
 {
+    logEvent(HttpServerEvents::requestMalformed,
+             { { "detail", error.message },
+               { "headComplete", m_parser.isHeadComplete() },
+               { "answered", m_isAnswerStarted } });
     if (m_handler) {
         const RefPointer<HttpRequestHandler> handler = std::move(m_handler);
         handler->callerGone();
