LibNet: Apply a changed limit of heads to open connections

What callers could see: 431 for a proper request on a connection that was opened before the operator raised the limit of heads, or before the VM knew the configuration. Found by reading, as a possible reason for DENIED; all deployments that we know set the limit that is the default, so it isn't what the users saw.

Cause: the parser of a connection got the limit when the connection was accepted and kept it. Times are read again for each request, so that only this limit was out of date.

Change: the limit is read when a request begins.

--- a/Libraries/LibNet/HttpParser.h
+++ b/Libraries/LibNet/HttpParser.h
@@ -51,6 +51,12 @@
     /// feed() fails for heads of more than `mostHeadBytes`.
     HttpParser(Kind kind, std::size_t mostHeadBytes);
 
+    /// Changes the limit of heads. Must be called before the first byte of a message.
+    void setMostHeadBytes(std::size_t mostHeadBytes)
+    {
+        m_mostHeadBytes = mostHeadBytes;
+    }
+
     /// Begins the next message. The answer to a HEAD request has no body, whatever its headers say.
     void begin(bool isAnswerToHead = false);
 
--- a/Libraries/LibNet/HttpServerConnection.cpp
+++ b/Libraries/LibNet/HttpServerConnection.cpp
@@ -108,6 +108,7 @@
         return false;
     }
     if (!m_parser.hasBegun()) {
+        m_parser.setMostHeadBytes(m_policy.limits().headBytes);
         m_timer.start(Deadline::after(m_loop.now(), m_policy.limits().headTimeout));
     }
     const Outcome<std::size_t> taken = capture([this] {
--- a/Tests/LibNet/TestHttpServerConnection.cpp
+++ b/Tests/LibNet/TestHttpServerConnection.cpp
@@ -208,6 +208,30 @@
     CHECK(server.stop().empty());
 }
 
+TEST_CASE("HttpServerConnection applies a changed limit of heads to connections that are open")
+{
+    // Guards against proper requests that are answered 431 on connections which were opened before the operator raised
+    // the limit, or before the configuration was known, and against larger ones on them after it was lowered.
+    Server server([&server](HttpServerConnection &connection, const HttpHead &head) {
+        server.serverLimits.headBytes = head.target == "/raise" ? 8'192 : 256;
+        answerOk(connection, head);
+    });
+    server.serverLimits.headBytes = 256;
+    Poco::Net::StreamSocket socket = server.connect();
+    // In two pieces, since the limit bounds what is kept of a head that isn't complete.
+    const auto sendLargeHead = [&socket] {
+        send(socket, "GET /lower HTTP/1.1\r\nName: " + std::string(4'000, 'x'));
+        std::this_thread::sleep_for(Milliseconds(20));
+        send(socket, "\r\n\r\n");
+    };
+    send(socket, "GET /raise HTTP/1.1\r\n\r\n");
+    CHECK(receiveUntil(socket, "answer to /raise.").starts_with("HTTP/1.1 200 "));
+    sendLargeHead();
+    CHECK(receiveUntil(socket, "answer to /lower.").starts_with("HTTP/1.1 200 "));
+    sendLargeHead();
+    CHECK(receiveUntil(socket, "\r\n\r\n").starts_with("HTTP/1.1 431 "));
+}
+
 TEST_CASE("HttpServerConnection closes a connection if the head does not arrive in time")
 {
     // Guards against callers that hold connections without sending a request.
