--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -5,8 +5,6 @@
 #include <LibGateway/GatewayEvents.h>
 #include <LibGateway/RefusalAnswer.h>
 
-#include <algorithm>
-
 namespace Sapphire {
 
 namespace {
@@ -26,11 +24,6 @@
 constexpr Milliseconds lateAnswerTime { 200 };
 constexpr int firstServerError = 500;
 
-bool contains(const std::vector<RegionId> &regions, const RegionId &region)
-{
-    return std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
 } // namespace
 
 GatewayRequest::GatewayRequest(Gateway &gateway)
@@ -68,80 +61,11 @@
     m_gateway.quotaWaiters().submit(*this);
 }
 
-void GatewayRequest::quotaGranted()
-{
-    const RefPointer<GatewayRequest> self(this);
-    m_state = State::ReadingBody;
-    if (isBodyReady()) {
-        submit();
-    }
-}
-
-void GatewayRequest::quotaDenied(Deadline nextTokenAt)
-{
-    // A VM without a share of the rate never has a token of its own, but it may borrow one, and so may other VMs.
-    const bool hasOwnToken = nextTokenAt != Deadline::never();
-    const Deadline retryAt = hasOwnToken ? nextTokenAt : m_gateway.dispatcher().retryTime(*this);
-    refuse(RefusalReason::RateExceeded, Verdict::NotRun, "rate of " + m_customer->id.text() + " exceeded",
-           std::max(retryAt, m_gateway.shortRetryTime()));
-}
-
-void GatewayRequest::quotaUnknown()
-{
-    refuse(RefusalReason::NotFresh, Verdict::NotRun,
-           "the VMs that share the rate of " + m_customer->id.text() + " aren't known yet", m_gateway.shortRetryTime());
-}
-
 bool GatewayRequest::isBodyReady() const
 {
     return m_isBodyComplete || m_body.size() > mostKeptBody;
 }
 
-bool GatewayRequest::admit()
-{
-    m_rules = m_gateway.rules();
-    if (!m_rules) {
-        refuse(RefusalReason::NotFresh, Verdict::NotRun, "no configuration yet", m_gateway.shortRetryTime());
-        return false;
-    }
-    if (m_gateway.refusesNewRequests()) {
-        refuse(RefusalReason::Draining, Verdict::NotRun, "this VM is stopping", m_gateway.shortRetryTime());
-        return false;
-    }
-    if (m_caller.bodyBytes.value_or(0) > m_rules->limits().bodyBytes) {
-        refuse(RefusalReason::TooLarge, Verdict::NotRun, "the body is larger than the limit");
-        return false;
-    }
-    return checkRoute() && checkCustomer();
-}
-
-bool GatewayRequest::checkRoute()
-{
-    m_route = m_rules->findRoute(m_caller.host, m_caller.path());
-    if (m_route == nullptr) {
-        refuse(RefusalReason::NoSuchService, Verdict::NotRun, "no route for host and path");
-        return false;
-    }
-    m_service = m_gateway.split().choose(*m_route);
-    return true;
-}
-
-bool GatewayRequest::checkCustomer()
-{
-    if (!m_rules->hasCustomers()) {
-        return true;
-    }
-    m_customer = m_caller.key.empty() ? nullptr : m_rules->findCustomer(m_caller.key);
-    if (m_route->isOpenToAll) {
-        return true;
-    }
-    if (m_customer == nullptr) {
-        refuse(RefusalReason::KeyRejected, Verdict::NotRun, "unknown key");
-        return false;
-    }
-    return true;
-}
-
 RequestTimes GatewayRequest::times() const
 {
     RequestTimes times;
@@ -153,32 +77,6 @@
     return times;
 }
 
-int GatewayRequest::priority() const
-{
-    return m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
-}
-
-bool GatewayRequest::mayRunIn(const RegionId &region) const
-{
-    const bool isRouteAllowed = m_route->allowedRegions.empty() || contains(m_route->allowedRegions, region);
-    const bool isCustomerAllowed =
-        m_customer == nullptr || m_customer->allowedRegions.empty() || contains(m_customer->allowedRegions, region);
-    return isRouteAllowed && isCustomerAllowed;
-}
-
-std::optional<RegionId> GatewayRequest::onlyRegion() const
-{
-    const bool isRouteBound = !m_route->allowedRegions.empty();
-    if (!isRouteBound && (m_customer == nullptr || m_customer->allowedRegions.empty())) {
-        return std::nullopt;
-    }
-    std::vector<RegionId> allowed = isRouteBound ? m_route->allowedRegions : m_customer->allowedRegions;
-    std::erase_if(allowed, [this](const RegionId &region) {
-        return !mayRunIn(region);
-    });
-    return allowed.size() == 1 ? std::optional(allowed.front()) : std::nullopt;
-}
-
 void GatewayRequest::bodyReceived(std::string_view bytes, bool isComplete)
 {
     const RefPointer<GatewayRequest> self(this);
