--- a/Tests/LibSteering/TestRateShare.cpp
+++ b/Tests/LibSteering/TestRateShare.cpp
@@ -65,8 +65,8 @@
 
 TEST_CASE("A VM that doesn't know the VMs yet has no part of a target's rate")
 {
-    // Guards against VMs that start during an outage of the store and each send a limited target its whole rate, because
-    // they know the target before the VMs that share its rate.
+    // Guards against VMs that start during an outage of the store and each send a limited target its whole rate,
+    // because they know the target before the VMs that share its rate.
     const std::map<RegionId, Demand> ownOnly { { cuyo, { 10, {} } } };
     CHECK(RateShare::ofTarget(cuyo, { cuyo, { 10, {} } }, ownOnly, VmsByRegion()) == 0);
     CHECK(RateShare::ofTarget(norte, { cuyo, { 10, {} } }, ownOnly, VmsByRegion()) == 0);
--- a/Tests/LibTarget/TestTargetExchange.cpp
+++ b/Tests/LibTarget/TestTargetExchange.cpp
@@ -188,10 +188,12 @@
         { "HTTP/1.1 200 OK\r\nName: ", "x" },
         { "", "HTTP/1.1 102 Processing\r\n\r\n" },
     };
-    for (const auto &[begin, repeated] : answers) {
+    for (const auto &answer : answers) {
+        const std::string &begin = answer.first;
+        const std::string &repeated = answer.second;
         CAPTURE(begin);
         CAPTURE(repeated);
-        const ScriptedTarget target([begin = begin, repeated = repeated](Poco::Net::StreamSocket &socket) {
+        const ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
             ScriptedTarget::readHead(socket);
             ScriptedTarget::write(socket, begin);
             while (!socket.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
