--- a/Tests/LibGateway/TestUnfinishedAnswers.cpp
+++ b/Tests/LibGateway/TestUnfinishedAnswers.cpp
@@ -75,6 +75,8 @@
     };
     const std::string chunked = sealedHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n";
     const std::vector<Answer> answers {
+        { "stops in its head", "HTTP/1.1 200 OK\r\nName: val", "" },
+        { "goes on slowly in its head", "HTTP/1.1 200 OK\r\nName: ", "x" },
         { "stops in a body with a length", sealedHead + "Content-Length: 10\r\n\r\nbegin", "" },
         { "stops before the first byte of a body", sealedHead + "Content-Length: 10\r\n\r\n", "" },
         { "stops between chunks", chunked, "" },
@@ -96,7 +98,8 @@
             fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
             const TimePoint begin = BootClock().now();
             Poco::Net::StreamSocket socket = fixture.connect();
-            fixture.send(socket, start + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n");
+            // Closing, since a refusal would leave the connection open for the next request.
+            fixture.send(socket, start + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nConnection: close\r\n\r\n");
             const CallerAnswer received = fixture.receive(socket);
             CHECK(since(begin) >= routeTimeout - Milliseconds(10));
             CHECK(since(begin) < routeTimeout + longestLateness);
@@ -119,6 +122,31 @@
     CHECK(since(begin) < Milliseconds(300) + longestLateness);
 }
 
+TEST_CASE("A second attempt whose answer is never completed ends soon after the route's timeout")
+{
+    // Guards against a retry whose answer gets the time of the route anew, or none at all.
+    std::atomic<int> attempts { 0 };
+    const auto script = [&attempts](Poco::Net::StreamSocket &socket) {
+        if (!ScriptedTarget::readHead(socket).starts_with("GET /read/")) {
+            return;
+        }
+        std::this_thread::sleep_for(Milliseconds(100));
+        if (++attempts > 1) {
+            ScriptedTarget::write(socket, sealedHead + "Content-Length: 10\r\n\r\nbegin");
+            ScriptedTarget::readHead(socket);
+        }
+    };
+    ScriptedTarget first(script);
+    ScriptedTarget second(script);
+    GatewayFixture fixture;
+    fixture.applyRules(routeTimeout);
+    fixture.applyTargets({ fixture.targetEntry("t1", first.address()), fixture.targetEntry("t2", second.address()) });
+    const TimePoint begin = BootClock().now();
+    CHECK(fixture.call("GET", "/read/a").isCut);
+    CHECK(attempts == 2);
+    CHECK(since(begin) < routeTimeout + longestLateness);
+}
+
 TEST_CASE("A target whose answers stop halfway is taken out, so that callers use another one")
 {
     // Guards against a faulty target that costs each caller the whole time of its route.
