LibGateway, LibSteering: Log what a refusal of a request as wrong was based on

A line of a 401 or 404 gave the version only. Nobody could tell a withdrawn key from one that the VM's rules lack, rules that are out of date from rules that were read in part, or a target's 4xx from a stranger's. Metrics: sapphire_denial_rules_age_seconds, sapphire_target_answers_total by class and seal, sapphire_configuration_version. No decision changes.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -65,6 +65,9 @@
 Result<void> EntryDaemon::startServers()
 {
     BOOST_LEAF_ASSIGN(m_gateway, Gateway::create(*m_loop, m_settings.gateway, m_metrics));
+    m_metrics.gauge("sapphire_configuration_version", "", [this] {
+        return m_gateway->rules() ? static_cast<double>(m_gateway->rules()->version().value()) : 0;
+    });
     BOOST_LEAF_ASSIGN(m_peers, PeerNetwork::create(*m_loop, m_own, m_roster, m_gateway->quotas()));
     m_gateway->quotaWaiters().setSource(*this);
     m_gateway->dispatcher().setDemandSource(*this);
@@ -118,10 +121,14 @@
     m_operatorStateSynchronizer = std::make_unique<OperatorStateSynchronizer>(
         context, *m_adapter.operatorState, [this](const OperatorState &state) {
             if (state.rules) {
-                m_gateway->applyRules(state.rules);
+                m_gateway->applyRules(state.rules, state.origin);
             }
             m_gateway->applyEvacuations(state.evacuatedZones);
         });
+    m_gateway->setRulesConfirmation([this] {
+        return RulesConfirmation { m_operatorStateSynchronizer->confirmedAt(),
+                                   m_operatorStateSynchronizer->isIncomplete() };
+    });
     m_targetListSynchronizer =
         std::make_unique<TargetListSynchronizer>(context, TargetListSynchronizerSettings { m_settings.isFirstStart },
                                                  *m_adapter.targetList, [this](const TargetListChange &change) {
--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -78,9 +78,12 @@
     if (!pending) {
         return std::nullopt;
     }
-    const Outcome<std::optional<OperatorState>> adopted = capture([&] {
+    Outcome<std::optional<OperatorState>> adopted = capture([&] {
         return m_source.adopt(pending->document);
     });
+    if (adopted && adopted.value()) {
+        adopted.value()->origin = pending->origin;
+    }
     return Task([this, update = std::move(*pending), adopted] {
         if (adopted && adopted.value()) {
             m_onState(*adopted.value());
--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -19,6 +19,7 @@
     RefPointer<const ServingRules> rules; ///< Null if there are none, or none that can be read.
     std::set<AvailabilityZoneId> evacuatedZones;
     std::string document; ///< The state in serialized form, for OperatorStateSource::adopt() of other VMs.
+    VmId origin {}; ///< The VM that sent the state; empty if it was read from the platform.
 };
 
 /// The source of the operators' rules. To be used by one thread at a time; every call may block until its deadline.
--- a/Libraries/LibEntry/SharedSourceSynchronizer.h
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.h
@@ -37,6 +37,16 @@
     void stop();
     /// Takes an update of another VM.
     void takeUpdate(const SourceUpdate &update);
+    /// When the local copy was last known to be current; the epoch of the clock if there is no copy yet.
+    TimePoint confirmedAt() const
+    {
+        return m_schedule.confirmedAt();
+    }
+    /// Whether another VM has reported a newer list than the local copy, or there is none yet.
+    bool isIncomplete() const
+    {
+        return m_schedule.isIncomplete();
+    }
     /// Checks at once whether a read is due. To be called when the list of VMs has changed.
     void check();
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Duration.h>
 #include <LibGateway/GatewayEvents.h>
+#include <LibGateway/RefusalAnswer.h>
 
 #include <algorithm>
 #include <cmath>
@@ -41,6 +42,9 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_metrics(metrics)
+    , m_rulesConfirmation([&loop] {
+        return RulesConfirmation { loop.now(), false };
+    })
     , m_targets(loop, m_settings.names, m_settings.regionsByZone)
     , m_retryBudget(m_settings.retryBudget)
     , m_quotas(m_settings.vm, m_settings.quota)
@@ -86,12 +90,11 @@
     return gateway;
 }
 
-void Gateway::applyRules(const RefPointer<const ServingRules> &rules)
+void Gateway::applyRules(const RefPointer<const ServingRules> &rules, const VmId &origin)
 {
-    if (m_rules && rules->version() <= m_rules->version()) {
+    if (!m_rules.apply(rules, origin)) {
         return;
     }
-    m_rules = rules;
     m_split.retain(*rules);
     m_quotas.applyRules(rules, m_loop.now());
     m_targets.applyColdStart(rules, m_settings.coldStart);
@@ -102,6 +105,9 @@
                { "routes", rules->routes().size() },
                { "services", rules->services().size() },
                { "customers", rules->customers().size() },
+               { "keys", rules->keyCount() },
+               { "unreadable", rules->unreadableEntries() },
+               { "origin", origin },
                { "limits", limitsText(*rules) } });
 }
 
@@ -134,8 +140,8 @@
     m_settings.quota = settings.quota;
     m_settings.coldStart = settings.coldStart;
     m_quotas.configure(m_settings.quota, m_loop.now());
-    if (m_rules) {
-        m_targets.applyColdStart(m_rules, m_settings.coldStart);
+    if (rules()) {
+        m_targets.applyColdStart(rules(), m_settings.coldStart);
     }
     divideRetryBudget();
 }
@@ -153,7 +159,7 @@
 
 bool Gateway::isReady() const
 {
-    return m_rules && m_hasTargets && !m_isLeaving;
+    return rules() && m_hasTargets && !m_isLeaving;
 }
 
 void Gateway::leave(std::function<void()> onStopped)
@@ -220,6 +226,11 @@
     }
     m_crashMonitor.noteAnswered(request.fingerprint(), m_loop.now());
     m_metrics.counter("sapphire_requests_total", "outcome=\"answered\"").add();
+    const std::string statusClass = std::to_string(attempt.answer().status / 100) + "xx";
+    m_metrics
+        .counter("sapphire_target_answers_total",
+                 "class=\"" + statusClass + "\",sealed=\"" + (attempt.isSealed() ? "yes" : "no") + "\"")
+        .add();
     m_metrics.histogram("sapphire_request_seconds").record(m_loop.now() - request.arrivedAt());
     m_dispatcher.capacityChanged(request.service());
 }
@@ -275,6 +286,9 @@
 void Gateway::noteRefused(const Refusal &refusal)
 {
     m_metrics.counter("sapphire_refusals_total", "reason=\"" + std::string(nameOf(refusal.reason)) + "\"").add();
+    if (isDenial(refusal.reason) && rules()) {
+        m_metrics.histogram("sapphire_denial_rules_age_seconds").record(m_loop.now() - m_rulesConfirmation().at);
+    }
 }
 
 void Gateway::noteTargetDied(const TargetId &target)
@@ -305,10 +319,10 @@
 HttpServerLimits Gateway::limits() const
 {
     HttpServerLimits limits;
-    if (m_rules) {
-        limits.headBytes = m_rules->limits().headBytes;
-        limits.headTimeout = m_rules->limits().headTimeout;
-        limits.idleTimeout = m_rules->limits().idleTimeout;
+    if (const RefPointer<const ServingRules> &current = rules()) {
+        limits.headBytes = current->limits().headBytes;
+        limits.headTimeout = current->limits().headTimeout;
+        limits.idleTimeout = current->limits().idleTimeout;
     }
     return limits;
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include <LibGateway/RequestDispatcher.h>
 #include <LibNet/HttpListener.h>
 #include <LibSteering/CustomerQuotas.h>
+#include <LibSteering/RulesHistory.h>
 #include <LibSteering/ServiceRetryBudget.h>
 #include <LibSteering/ServiceSplit.h>
 
@@ -25,8 +26,14 @@
                                                                  Metrics &metrics);
     ~Gateway() override;
 
-    /// Applies a newer version of the operator's rules; older ones are ignored.
-    void applyRules(const RefPointer<const ServingRules> &rules);
+    /// Applies a newer version of the operator's rules; older ones are ignored. `origin` is the VM that sent them;
+    /// empty if they were read from the platform.
+    void applyRules(const RefPointer<const ServingRules> &rules, const VmId &origin = {});
+    /// Sets the function that tells when the rules were last known to be current.
+    void setRulesConfirmation(std::function<RulesConfirmation()> confirmation)
+    {
+        m_rulesConfirmation = std::move(confirmation);
+    }
     /// Applies a change of the target list.
     void applyTargets(const TargetListChange &change);
     void applyEvacuations(const std::set<AvailabilityZoneId> &zones);
@@ -55,9 +62,17 @@
         return m_settings.names;
     }
     const RefPointer<const ServingRules> &rules() const
+    {
+        return m_rules.current();
+    }
+    const RulesHistory &rulesHistory() const
     {
         return m_rules;
     }
+    RulesConfirmation rulesConfirmation() const
+    {
+        return m_rulesConfirmation();
+    }
     CustomerQuotas &quotas()
     {
         return m_quotas;
@@ -119,7 +134,8 @@
     GatewaySettings m_settings;
     VmsByRegion m_vms; ///< The VMs among which limits are divided.
     Metrics &m_metrics;
-    RefPointer<const ServingRules> m_rules;
+    RulesHistory m_rules;
+    std::function<RulesConfirmation()> m_rulesConfirmation;
     TargetRegistry m_targets;
     ServiceSplit m_split;
     ServiceRetryBudget m_retryBudget;
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -117,6 +117,8 @@
     /// Ends the request and resets the caller's connection, so that the answer doesn't look complete.
     void abortAnswer(RequestAttempt &attempt, const std::string &detail);
     void logRefusal(const Refusal &refusal) const;
+    /// Logs what distinguishes a wrong request from one that this VM's rules lack.
+    void logDenial(const Refusal &refusal) const;
     void logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const;
     void logAnswer(RequestAttempt &attempt) const;
     void end();
--- a/Libraries/LibGateway/GatewayRequestLog.cpp
+++ b/Libraries/LibGateway/GatewayRequestLog.cpp
@@ -1,6 +1,8 @@
 #include <LibGateway/GatewayRequest.h>
 
 #include <LibCore/Duration.h>
+#include <LibCore/Hash.h>
+#include <LibGateway/Gateway.h>
 #include <LibGateway/GatewayEvents.h>
 #include <LibGateway/RefusalAnswer.h>
 
@@ -8,6 +10,13 @@
 
 namespace Sapphire {
 
+namespace {
+
+// Enough of a key's hash to tell keys apart in the logs of all VMs.
+constexpr std::size_t loggedHashDigits = 12;
+
+} // namespace
+
 void GatewayRequest::logRefusal(const Refusal &refusal) const
 {
     logEvent(
@@ -24,6 +33,29 @@
           { "retryAfterMilliseconds", refusal.retryAt ? millisecondsBetween(m_loop.now(), refusal.retryAt->at()) : 0 },
           { "configuration", m_rules ? m_rules->version() : ConfigurationVersion() },
           { "detail", refusal.detail } });
+    if (isDenial(refusal.reason)) {
+        logDenial(refusal);
+    }
+}
+
+void GatewayRequest::logDenial(const Refusal &refusal) const
+{
+    const RulesHistory &history = m_gateway.rulesHistory();
+    const RulesConfirmation confirmation = m_gateway.rulesConfirmation();
+    const ConfigurationVersion earlier = refusal.reason == RefusalReason::KeyRejected
+        ? history.earlierVersionWithKey(m_caller.key)
+        : history.earlierVersionWithRoute(m_caller.host, m_caller.path());
+    logEvent(GatewayEvents::requestDenied,
+             { { "request", m_caller.id },
+               { "status", statusOf(refusal) },
+               { "host", m_caller.host },
+               { "keyHash", m_caller.key.empty() ? "" : sha256Hex(m_caller.key).substr(0, loggedHashDigits) },
+               { "allowedByEarlier", earlier },
+               { "configuration", m_rules ? m_rules->version() : ConfigurationVersion() },
+               { "origin", history.origin() },
+               { "confirmedMillisecondsAgo", millisecondsBetween(confirmation.at, m_loop.now()) },
+               { "superseded", confirmation.isSuperseded },
+               { "unreadable", m_rules ? m_rules->unreadableEntries() : 0 } });
 }
 
 void GatewayRequest::logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const
@@ -46,6 +78,7 @@
     logEvent(GatewayEvents::requestAnswered,
              { { "request", m_caller.id },
                { "status", attempt.answer().status },
+               { "sealed", attempt.isSealed() },
                { "route", m_route->id },
                { "customer", m_customer != nullptr ? m_customer->id : CustomerId() },
                { "service", m_service },
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -228,7 +228,7 @@
 bool RequestAttempt::hasSeal() const
 {
     const bool isSuccess = m_answer.status >= firstSuccess && m_answer.status < firstRedirection;
-    return !isSuccess || (m_answer.header(m_names.seal) && !m_answer.header("Content-Encoding"));
+    return !isSuccess || (isSealed() && !m_answer.header("Content-Encoding"));
 }
 
 void RequestAttempt::end()
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -87,6 +87,11 @@
     {
         return m_answer;
     }
+    /// Whether the answer bears the mark by which a target signs its answers.
+    bool isSealed() const
+    {
+        return m_answer.header(m_names.seal).has_value();
+    }
     bool isAnswerWhole() const
     {
         return m_isAnswerWhole;
--- a/Libraries/LibSteering/ServingRules.h
+++ b/Libraries/LibSteering/ServingRules.h
@@ -80,6 +80,8 @@
         std::vector<ServiceRules> services;
         std::vector<CustomerRules> customers;
         CallerLimits limits;
+        std::size_t unreadableRoutes { 0 }; ///< Routes of the configuration that could not be read and are left out.
+        std::size_t unreadableCustomers { 0 }; ///< Likewise of customers, or of parts of them.
     };
 
     explicit ServingRules(Content content);
@@ -104,6 +106,15 @@
     {
         return m_content.customers;
     }
+    std::size_t keyCount() const
+    {
+        return m_customersByKeyHash.size();
+    }
+    /// How many routes and customers of the configuration these rules lack, because they could not be read.
+    std::size_t unreadableEntries() const
+    {
+        return m_content.unreadableRoutes + m_content.unreadableCustomers;
+    }
     /// Returns whether there are any customers; without customers, no request needs a key.
     bool hasCustomers() const
     {
