LibGateway: Forward no unsealed answer that callers take for a refusal

A stranger at a target's address, or a faulty target, answers 301, 404, 408, 429 or 503 without the target's seal; the caller got that unchanged and couldn't tell it from a refusal by this system: wrong for good, or "not run" for a booking that may have run. Cause: RequestAttempt asked for the seal on 2xx only. Class: a claim in this system's name that nobody vouches for. Change: an answer without a seal is forwarded only if it is a server error other than 503; else the attempt has failed as may-have-run: a read goes to another target, a booking ends with 502. Sealed answers go through unchanged. Evidence: the new case of TestGatewayAnswers failed before, 24 of 64 checks (eight statuses, reads and bookings), and passes now with 503 as the ninth; the case with a sealed 409 passed before and passes now. TestLibGateway: 54 of 54 cases.

--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -16,6 +16,8 @@
 constexpr int statusMisdirected = 421;
 constexpr int firstSuccess = 200;
 constexpr int firstRedirection = 300;
+constexpr int firstServerError = 500;
+constexpr int statusUnavailable = 503;
 
 std::optional<LoadReport> readLoad(std::string_view text)
 {
@@ -174,12 +176,13 @@
         failAsNotRun();
         return;
     }
-    if (!hasSeal()) {
+    if (!isCredible()) {
         if (!m_isOver) {
             m_session->abandon();
         }
         fail(AttemptFailure::Kind::Malformed, Verdict::MayHaveRun,
-             "the answer has no seal of the target or an unexpected content encoding");
+             "status " + std::to_string(m_answer.status)
+                 + " without the target's seal or with an unexpected content encoding");
         return;
     }
     m_isAnswerDelivered = m_owner.attemptAnswered(*this);
@@ -225,10 +228,15 @@
     return m_answer.status == statusMisdirected || m_answer.header(m_names.notRun).has_value();
 }
 
-bool RequestAttempt::hasSeal() const
+bool RequestAttempt::isCredible() const
 {
     const bool isSuccess = m_answer.status >= firstSuccess && m_answer.status < firstRedirection;
-    return !isSuccess || (isSealed() && !m_answer.header("Content-Encoding"));
+    if (isSuccess) {
+        return isSealed() && !m_answer.header("Content-Encoding");
+    }
+    // Other server errors say nothing that a caller relies on.
+    const bool saysNothing = m_answer.status >= firstServerError && m_answer.status != statusUnavailable;
+    return isSealed() || saysNothing;
 }
 
 void RequestAttempt::end()
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -144,7 +144,9 @@
     void requestDrained() override;
 
     bool isNotRun() const;
-    bool hasSeal() const;
+    /// Whether callers may take the answer for the target's. One without a seal may come from a stranger at the
+    /// target's address; a redirection, an error of the caller's or a 503 would look like a refusal by this system.
+    bool isCredible() const;
     void deliverAnswer();
     void end();
     /// The target says that it has not run the request.
--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -182,6 +182,41 @@
     CHECK(fixture.call("POST", "/book/a").status == 502);
 }
 
+TEST_CASE("An answer without the target's seal that callers would take for a refusal is not forwarded")
+{
+    // Guards against a stranger's or faulty target's answer that says for this system that a request is wrong or not
+    // run.
+    for (const std::string start : { "301 Moved", "304 Not Modified", "400 Bad Request", "401 Unauthorized",
+                                     "404 Not Found", "408 Timeout", "413 Too Large", "429 Too Many", "503 Busy" }) {
+        CAPTURE(start);
+        ScriptedTarget target(answering([&](const std::string &) {
+            return "HTTP/1.1 " + start + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        }));
+        GatewayFixture fixture;
+        fixture.applyRules();
+        fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+        CHECK(fixture.call("GET", "/read/a").status == 502);
+        const CallerAnswer booking = fixture.call("POST", "/book/a", "", "order");
+        CHECK(booking.status == 502);
+        CHECK(booking.has("Sapphire-Verdict: may-have-run\r\n"));
+    }
+}
+
+TEST_CASE("An error of the caller's that a target has sealed is forwarded unchanged")
+{
+    // Guards against a target's own judgement of a request that callers don't get to see.
+    ScriptedTarget target(answering([](const std::string &) {
+        return "HTTP/1.1 409 Conflict\r\nSeal: s\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\nfull";
+    }));
+    GatewayFixture fixture;
+    fixture.applyRules();
+    fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+    const CallerAnswer answer = fixture.call("POST", "/book/a", "", "order");
+    CHECK(answer.status == 409);
+    CHECK(answer.has("Seal: s\r\n"));
+    CHECK(answer.body == "full");
+}
+
 TEST_CASE("An answer without a length ends with its connection and reaches the caller completely")
 {
     // Guards against an answer that is never finished, or finished although it was truncated.
