--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -101,7 +101,7 @@
     bool admit();
     bool checkRoute();
     bool checkCustomer();
-    /// Refuses the request as wrong by the rules. Refuses it only for now if the rules may lack what would allow it.
+    /// Refuses the request as wrong by the rules. Refuses it only for now if this VM's rules may lack what allows it.
     void deny(RefusalReason reason, const std::string &detail);
     bool isBodyReady() const;
     void submit();
--- a/Libraries/LibGateway/GatewayRequestAdmission.cpp
+++ b/Libraries/LibGateway/GatewayRequestAdmission.cpp
@@ -64,14 +64,17 @@
 
 void GatewayRequest::deny(RefusalReason reason, const std::string &detail)
 {
-    const bool isFinal = m_gateway.areRulesCurrent();
+    const bool isUncertain = reason == RefusalReason::NoSuchService
+        ? m_rules->isRouteUncertain(m_caller.host, m_caller.path())
+        : reason == RefusalReason::KeyRejected && m_rules->areKeysUncertain();
+    const bool isFinal = m_gateway.areRulesCurrent() && !isUncertain;
     m_gateway.noteDenied(reason, isFinal);
     logDenial(reason, isFinal);
     if (isFinal) {
         refuse(reason, Verdict::NotRun, detail);
         return;
     }
-    refuse(RefusalReason::NotFresh, Verdict::NotRun, detail + ", but the rules may be out of date",
+    refuse(RefusalReason::NotFresh, Verdict::NotRun, detail + ", but the rules may be out of date or incomplete",
            m_gateway.shortRetryTime());
 }
 
--- a/Libraries/LibSteering/ServingRules.cpp
+++ b/Libraries/LibSteering/ServingRules.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// In place of the index of a route that could not be read.
+constexpr auto unreadableRoute = static_cast<std::size_t>(-1);
+
 std::string hostWithoutPort(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -26,6 +29,11 @@
         const Route &route = m_content.routes[i];
         m_routesByHost[hostWithoutPort(route.host)].emplace(route.pathPrefix, i);
     }
+    for (const UnreadableRoute &route : m_content.unreadableRoutes) {
+        if (!route.host.empty()) {
+            m_routesByHost[hostWithoutPort(route.host)].emplace(route.pathPrefix, unreadableRoute);
+        }
+    }
     for (std::size_t i = 0; i < m_content.customers.size(); ++i) {
         for (const std::string &keyHash : m_content.customers[i].keyHashes) {
             m_customersByKeyHash.emplace(keyHash, i);
@@ -37,21 +45,36 @@
 }
 
 const Route *ServingRules::findRoute(std::string_view host, std::string_view path) const
+{
+    const std::optional<std::size_t> index = findRouteIndex(host, path);
+    return index && *index != unreadableRoute ? &m_content.routes[*index] : nullptr;
+}
+
+bool ServingRules::isRouteUncertain(std::string_view host, std::string_view path) const
+{
+    const bool isAnyUncertain = std::any_of(m_content.unreadableRoutes.begin(), m_content.unreadableRoutes.end(),
+                                            [](const UnreadableRoute &route) {
+                                                return route.host.empty();
+                                            });
+    return isAnyUncertain || findRouteIndex(host, path) == unreadableRoute;
+}
+
+std::optional<std::size_t> ServingRules::findRouteIndex(std::string_view host, std::string_view path) const
 {
     const auto routes = m_routesByHost.find(hostWithoutPort(host));
     if (routes == m_routesByHost.end()) {
-        return nullptr;
+        return std::nullopt;
     }
     // Prefixes end with a slash, so only those parts of the path that end at one of its slashes can match.
     std::size_t end = path.rfind('/');
     while (end != std::string_view::npos) {
         const auto found = routes->second.find(path.substr(0, end + 1));
         if (found != routes->second.end()) {
-            return &m_content.routes[found->second];
+            return found->second;
         }
         end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 const CustomerRules *ServingRules::findCustomer(std::string_view key) const
--- a/Libraries/LibSteering/ServingRules.h
+++ b/Libraries/LibSteering/ServingRules.h
@@ -69,6 +69,14 @@
     Milliseconds idleTimeout { 15'000 }; ///< Between two requests on a connection.
 };
 
+/// A route of the configuration that could not be read. What is known of it stays, so that its requests are neither
+/// taken for wrong nor handled by another route.
+struct UnreadableRoute
+{
+    std::string host; ///< Empty if host or path prefix could not be read: any request may be its.
+    std::string pathPrefix;
+};
+
 /// One version of the operator's rules. Immutable once it is in use.
 class ServingRules : public RefCounted<ServingRules>
 {
@@ -80,8 +88,8 @@
         std::vector<ServiceRules> services;
         std::vector<CustomerRules> customers;
         CallerLimits limits;
-        std::size_t unreadableRoutes { 0 }; ///< Routes of the configuration that could not be read and are left out.
-        std::size_t unreadableCustomers { 0 }; ///< Likewise of customers, or of parts of them.
+        std::vector<UnreadableRoute> unreadableRoutes;
+        std::size_t unreadableCustomers { 0 }; ///< Customers of the configuration that could not be read.
     };
 
     explicit ServingRules(Content content);
@@ -113,16 +121,23 @@
     /// How many routes and customers of the configuration these rules lack, because they could not be read.
     std::size_t unreadableEntries() const
     {
-        return m_content.unreadableRoutes + m_content.unreadableCustomers;
+        return m_content.unreadableRoutes.size() + m_content.unreadableCustomers;
     }
     /// Returns whether there are any customers; without customers, no request needs a key.
     bool hasCustomers() const
     {
-        return !m_content.customers.empty();
+        return !m_content.customers.empty() || areKeysUncertain();
     }
+    /// Whether an unknown key may belong to a customer that could not be read.
+    bool areKeysUncertain() const
+    {
+        return m_content.unreadableCustomers > 0;
+    }
+    /// Whether a request without a route may belong to a route that could not be read.
+    bool isRouteUncertain(std::string_view host, std::string_view path) const;
 
-    /// Returns the route of the host with the longest matching path prefix, or null. The host may include a port, which
-    /// is ignored.
+    /// Returns the route of the host with the longest matching path prefix, or null if there is none or it could not be
+    /// read. The host may include a port, which is ignored.
     const Route *findRoute(std::string_view host, std::string_view path) const;
     /// Returns the customer to whom a key belongs, or null.
     const CustomerRules *findCustomer(std::string_view key) const;
@@ -130,8 +145,12 @@
     const ServiceRules *findService(const ServiceId &service) const;
 
 private:
+    /// Returns the index of the route of the host with the longest matching path prefix, `unreadableRoute` if it could
+    /// not be read, or nothing.
+    std::optional<std::size_t> findRouteIndex(std::string_view host, std::string_view path) const;
+
     Content m_content;
-    /// By host and path prefix: the index of the route.
+    /// By host and path prefix: the index of the route, or `unreadableRoute`.
     std::unordered_map<std::string, std::map<std::string, std::size_t, std::less<>>> m_routesByHost;
     std::unordered_map<std::string, std::size_t> m_customersByKeyHash;
     std::unordered_map<ServiceId, std::size_t> m_servicesById;
--- a/Tests/LibGateway/TestDenials.cpp
+++ b/Tests/LibGateway/TestDenials.cpp
@@ -83,3 +83,25 @@
     fixture.confirmRules(Milliseconds(0));
     CHECK(fixture.call("POST", "/book/a", head).status == 413);
 }
+
+TEST_CASE("A request that may belong to an unreadable entry of the rules is not refused as wrong")
+{
+    // Guards against callers who are told not to come back because their own route or customer can't be read.
+    ServingRules::Content content;
+    content.version = ConfigurationVersion(9);
+    content.customers = { {} };
+    content.unreadableRoutes = { { "h.example", "/broken/" } };
+    content.unreadableCustomers = 1;
+    Route route;
+    route.host = "h.example";
+    route.pathPrefix = "/keyed/";
+    route.services = { { ServiceId("s"), 1 } };
+    content.routes = { route };
+    GatewayFixture fixture;
+    fixture.run([&] {
+        fixture.gateway().applyRules(RefPointer<const ServingRules>(new ServingRules(content)));
+    });
+    checkRefusedForNow(fixture.call("GET", "/broken/a", unknownKey));
+    checkRefusedForNow(fixture.call("GET", "/keyed/a", unknownKey));
+    CHECK(fixture.call("GET", "/other/a", unknownKey).status == 404);
+}
--- a/Tests/Platform/TestRulesFormat.cpp
+++ b/Tests/Platform/TestRulesFormat.cpp
@@ -66,6 +66,56 @@
     CHECK(read.findCustomer("k2")->burst == 25);
 }
 
+TEST_CASE("What an unreadable entry may allow is known to be unknown")
+{
+    // Guards against proper requests that are refused as wrong, or run elsewhere, because their entry can't be read.
+    const auto readWith = [](const std::string &from, const std::string &to) {
+        std::string text = rulesText;
+        text.replace(text.find(from), from.size(), to);
+        const Outcome<RefPointer<const ServingRules>> rules = capture([&] {
+            return Platform::readRules(text);
+        });
+        REQUIRE(rules);
+        return rules.value();
+    };
+    const std::string wider = R"({"name":"broken","host":"h.example","prefix":"/c/")";
+    const RefPointer<const ServingRules> rules =
+        readWith(wider,
+                 R"({"name":"w","host":"h.example","prefix":"/","kind":"idempotent",
+        "timeout":"1s","service":"s1"},)"
+                     + wider);
+    CHECK(rules->findRoute("h.example", "/c/1") == nullptr);
+    CHECK(rules->isRouteUncertain("h.example", "/c/1"));
+    CHECK(!rules->isRouteUncertain("h.example", "/d/1"));
+    CHECK(rules->findRoute("h.example", "/d/1")->id == RouteId("w"));
+    CHECK(readWith("\"h.example\",\"prefix\":\"/c/\"", "1")->isRouteUncertain("h.example", "/d/1"));
+    for (const std::string tenant :
+         { R"({"name":5,"api_keys":["k1"]})", R"({"name":"t1","api_keys":"k1"})",
+           R"({"name":"t1","api_keys":["k2",7]})", R"({"name":"t1","api_keys":["k1"],"rate_per_s":"254"})",
+           R"({"name":"t1","api_keys":["k1"],"home_regions":[7]})", R"("k1")" }) {
+        CAPTURE(tenant);
+        const RefPointer<const ServingRules> read =
+            readWith(R"({"name":"t1","api_keys":["k1","k2"],"priority":1,"rate_per_s":254,"burst":25})", tenant);
+        CHECK(read->hasCustomers());
+        CHECK(read->findCustomer("k1") == nullptr);
+        CHECK(read->areKeysUncertain());
+    }
+    CHECK(!rules->areKeysUncertain());
+}
+
+TEST_CASE("A route or customer whose regions can't be read is not allowed everywhere")
+{
+    // Guards against requests that leave the regions to which the operator has bound them.
+    std::string text = rulesText;
+    text.replace(text.find("[\"cuyo\"]"), 8, "[7,8,9]");
+    const Outcome<RefPointer<const ServingRules>> rules = capture([&] {
+        return Platform::readRules(text);
+    });
+    REQUIRE(rules);
+    CHECK(rules.value()->findRoute("h.example", "/a/1") == nullptr);
+    CHECK(rules.value()->isRouteUncertain("h.example", "/a/1"));
+}
+
 TEST_CASE("Text that is not a configuration is rejected")
 {
     // Guards against rules that are read in part.
@@ -78,6 +128,9 @@
     CHECK(!capture([] {
         return Platform::readRules("{\"version\":\"0000000c\",\"services\":[]}");
     }));
+    CHECK(!capture([] {
+        return Platform::readRules("{\"version\":\"0000000c\",\"routes\":[],\"services\":[],\"tenants\":{}}");
+    }));
 }
 
 TEST_CASE("A target's entry is read with all its fields")
