TestLibGateway: Play requests that keep exactly to the limits

Change: a test sends a head of exactly the limit in pieces and a body of exactly the limit, with a length and in chunks with extensions, with a port and capitals in Host and a deadline with a leading zero.

--- a/Tests/LibGateway/TestDenials.cpp
+++ b/Tests/LibGateway/TestDenials.cpp
@@ -105,3 +105,65 @@
     checkRefusedForNow(fixture.call("GET", "/keyed/a", unknownKey));
     CHECK(fixture.call("GET", "/other/a", unknownKey).status == 404);
 }
+
+TEST_CASE("A request that keeps exactly to the limits is not refused as wrong")
+{
+    // Guards against a limit that counts framing as body, or the pieces in which a head arrives.
+    constexpr std::size_t mostHeadBytes = 2'000;
+    constexpr std::size_t mostBodyBytes = 1'000;
+    ServingRules::Content content;
+    content.version = ConfigurationVersion(9);
+    content.limits.headBytes = mostHeadBytes;
+    content.limits.bodyBytes = mostBodyBytes;
+    Route route;
+    route.host = "h.example";
+    route.pathPrefix = "/book/";
+    route.timeout = Milliseconds(1'000);
+    route.targetLatency = Milliseconds(1'000);
+    route.services = { { ServiceId("s"), 1 } };
+    content.routes = { route };
+    // The answer comes once the body has, so that the rest of it isn't taken for another request.
+    ScriptedTarget target([](Poco::Net::StreamSocket &socket) {
+        std::string text;
+        char byte = 0;
+        const auto hasAll = [&text] {
+            return text.ends_with("0\r\n\r\n") || text.ends_with(std::string(mostBodyBytes, 'b'));
+        };
+        while (socket.receiveBytes(&byte, 1) > 0) {
+            text += byte;
+            if (text.starts_with("GET ") && text.ends_with("\r\n\r\n")) {
+                ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                text.clear();
+            } else if (hasAll()) {
+                ScriptedTarget::write(socket, soundAnswer("ok"));
+                text.clear();
+            }
+        }
+    });
+    GatewayFixture fixture;
+    fixture.run([&] {
+        fixture.gateway().applyRules(RefPointer<const ServingRules>(new ServingRules(content)));
+    });
+    fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+    const std::string chunk = "fa;name=value\r\n" + std::string(250, 'b') + "\r\n";
+    const std::string chunks = chunk + chunk + chunk + chunk + "0\r\n\r\n";
+    for (const bool isChunked : { false, true }) {
+        CAPTURE(isChunked);
+        std::string head = "POST /book/a HTTP/1.1\r\nHost: H.example:8080\r\nRequest-Id: r1\r\nDeadline-Ms: 0900\r\n"
+                           "Connection: close\r\n";
+        head +=
+            isChunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(mostBodyBytes) + "\r\n";
+        const std::string end = "\r\n\r\n";
+        head += "Fill: ";
+        head += std::string(mostHeadBytes - head.size() - end.size(), 'f') + end;
+        Poco::Net::StreamSocket socket = fixture.connect();
+        socket.setNoDelay(true);
+        constexpr std::size_t pieceBytes = 250;
+        const std::string text = head + (isChunked ? chunks : std::string(mostBodyBytes, 'b'));
+        for (std::size_t begin = 0; begin < text.size(); begin += pieceBytes) {
+            GatewayFixture::send(socket, text.substr(begin, pieceBytes));
+            std::this_thread::sleep_for(Milliseconds(2));
+        }
+        CHECK(GatewayFixture::receive(socket).status == 200);
+    }
+}
