LibEntry, platform: Don't take rules for current while the newest configuration can't be read

Cause: a read that finds an unreadable configuration keeps the last rules and confirmed them as current, for other VMs too: their digest was the same. Change: the state says that the configuration is unreadable, and so does its digest; rules are not current meanwhile.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -123,11 +123,12 @@
             if (state.rules) {
                 m_gateway->applyRules(state.rules, state.origin);
             }
+            m_isConfigurationUnreadable = state.isConfigurationUnreadable;
             m_gateway->applyEvacuations(state.evacuatedZones);
         });
     m_gateway->setRulesConfirmation([this] {
         return RulesConfirmation { m_operatorStateSynchronizer->confirmedAt(),
-                                   m_operatorStateSynchronizer->isIncomplete() };
+                                   m_operatorStateSynchronizer->isIncomplete() || m_isConfigurationUnreadable };
     });
     m_targetListSynchronizer =
         std::make_unique<TargetListSynchronizer>(context, TargetListSynchronizerSettings { m_settings.isFirstStart },
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -79,6 +79,7 @@
     std::mutex m_goneMutex;
     std::vector<VmId> m_goneVms; ///< VMs whose records are to be removed from the registry.
     std::unique_ptr<OperatorStateSynchronizer> m_operatorStateSynchronizer;
+    bool m_isConfigurationUnreadable { false }; ///< The platform holds a newer one than the rules in force.
     std::unique_ptr<TargetListSynchronizer> m_targetListSynchronizer;
     std::unique_ptr<SourcePoller> m_vmListPoller;
 };
--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -17,6 +17,10 @@
 std::uint64_t digestOf(const OperatorState &state)
 {
     std::string content = state.rules ? std::to_string(state.rules->version().value()) : "none";
+    if (state.isConfigurationUnreadable) {
+        // Other VMs must not take the rules that this VM keeps for the current ones.
+        content += "\nunreadable";
+    }
     for (const AvailabilityZoneId &zone : state.evacuatedZones) {
         content += "\n" + zone.text();
     }
--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -17,6 +17,8 @@
 struct OperatorState
 {
     RefPointer<const ServingRules> rules; ///< Null if there are none, or none that can be read.
+    /// The platform holds a newer configuration that can't be read; `rules` are the last ones that could be.
+    bool isConfigurationUnreadable { false };
     std::set<AvailabilityZoneId> evacuatedZones;
     std::string document; ///< The state in serialized form, for OperatorStateSource::adopt() of other VMs.
     VmId origin {}; ///< The VM that sent the state; empty if it was read from the platform.
--- a/Libraries/LibSteering/RulesHistory.h
+++ b/Libraries/LibSteering/RulesHistory.h
@@ -8,7 +8,7 @@
 struct RulesConfirmation
 {
     TimePoint at {};
-    bool isSuperseded { false }; ///< Another VM has reported newer rules, which this VM lacks.
+    bool isSuperseded { false }; ///< There are newer rules, which this VM lacks or can't read.
 };
 
 /// The rules in force, where they came from, and the versions by which a refusal can be explained: the one before and
--- a/Tests/Entry/TestEntryPath.cpp
+++ b/Tests/Entry/TestEntryPath.cpp
@@ -109,6 +109,30 @@
     CHECK(read(deployment, cutOff, "wrong").status == 401);
 }
 
+TEST_CASE("While the newest configuration can't be read, a key that the last one lacks is not refused as wrong")
+{
+    // Guards against rules that count as current because the VM has seen, but not understood, what replaces them.
+    EntryDeployment deployment(1, 1);
+    const EntryVm &vm = deployment.vms().front();
+    deployment.store().set("op", "config", "{ broken");
+    CHECK(waitFor(
+        [&] {
+            return read(deployment, vm, "new").status == 503;
+        },
+        after(Milliseconds(2'500))));
+    std::this_thread::sleep_for(Milliseconds(2'500));
+    CHECK(read(deployment, vm, "new").status == 503);
+    CHECK(read(deployment, vm, "key-1").status == 200);
+    EntryRules rules;
+    rules.version = 2;
+    deployment.applyRules(rules);
+    CHECK(waitFor(
+        [&] {
+            return read(deployment, vm, "new").status == 401;
+        },
+        after(Milliseconds(2'500))));
+}
+
 TEST_CASE("Rules are in force within seconds although the VM that reads them for its region is frozen")
 {
     // Guards against VMs that wait for a reader that no longer sends anything.
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -63,6 +63,28 @@
     CHECK(versionOf(source) == 3);
 }
 
+TEST_CASE("A newer configuration that can't be read is reported as such until the next one")
+{
+    // Guards against rules that other VMs take for current because their reader didn't understand what replaces them.
+    StoreStandIn store;
+    const std::unique_ptr<StoreClient> client = clientOf(store);
+    StoreOperatorState source(*client);
+    const auto isUnreadable = [&] {
+        const Outcome<OperatorState> state = capture([&] {
+            return source.next(noWait, soon());
+        });
+        REQUIRE(state);
+        return state.value().isConfigurationUnreadable;
+    };
+    store.set("op", "config", rulesText(1));
+    CHECK(!isUnreadable());
+    store.set("op", "config", "{ broken");
+    CHECK(isUnreadable());
+    CHECK(isUnreadable());
+    store.set("op", "config", rulesText(2));
+    CHECK(!isUnreadable());
+}
+
 TEST_CASE("A waiting call returns as soon as a row changes")
 {
     // Guards against rules that come into force only at the end of the wait.
