LibCaller: Don't refuse a service as unknown on a VM that isn't fresh

What callers saw: 404, never to come back, for a service that is in force, from a sapphired VM that may have missed its creation. Cause: the same as in LibGateway; found while the cause was looked for elsewhere, by the reviewer as well. KeyCheck asks whether the configuration is fresh before it looks a key up, the look-up of the service didn't. Change: checkService() refuses an unknown service with not-fresh (503, with other VMs named) if the configuration may be too old.

--- a/Libraries/LibCaller/CallerEndpoint.cpp
+++ b/Libraries/LibCaller/CallerEndpoint.cpp
@@ -4,6 +4,7 @@
 #include <LibCaller/HttpAnswerSink.h>
 #include <LibCaller/HttpBodySource.h>
 #include <LibCaller/RefusalResponse.h>
+#include <LibCaller/ServiceCheck.h>
 #include <LibCaller/VmListJson.h>
 #include <LibRequest/IssuedRequestId.h>
 
@@ -196,19 +197,19 @@
     if (head.path.empty() || head.path.front() != '/') {
         head.path.insert(0, "/");
     }
-    const std::shared_ptr<const Configuration> configuration = m_parts.configuration.configuration();
-    const auto service = configuration->services.find(head.service);
-    if (service == configuration->services.end()) {
-        return Refusal { RefusalReason::NoSuchService, Verdict::NotRun, "there is no such service", {}, {} };
+    const auto found = checkService(m_parts.configuration, head.service, m_parts.clock.now());
+    if (const auto *refusal = std::get_if<Refusal>(&found)) {
+        return *refusal;
     }
-    if (!service->second.isOpenToAll) {
+    const ServiceRecord &service = std::get<ServiceRecord>(found);
+    if (!service.isOpenToAll) {
         const auto checked = m_parts.keys.check(call.request.get("Authorization", ""), m_parts.clock.now());
         if (const auto *refusal = std::get_if<Refusal>(&checked)) {
             return *refusal;
         }
         head.customer = std::get<CustomerId>(checked);
     }
-    if (std::optional<Refusal> refusal = readOptions(call, service->second, head)) {
+    if (std::optional<Refusal> refusal = readOptions(call, service, head)) {
         return *refusal;
     }
     for (const auto &[name, value] : call.request) {
--- a/Libraries/LibCaller/EntryHandler.cpp
+++ b/Libraries/LibCaller/EntryHandler.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCaller/BufferedBody.h>
 #include <LibCaller/RecordingSink.h>
+#include <LibCaller/StaleRetryDelay.h>
 #include <LibRequest/IssuedRequestId.h>
 
 namespace Sapphire {
@@ -11,7 +12,6 @@
 // No target can answer in less time than this.
 constexpr Milliseconds leastTime { 2 };
 constexpr Milliseconds stateTimeout { 500 };
-constexpr Milliseconds staleRetryDelay { 1'000 };
 
 ExchangeReport refused(Refusal refusal)
 {
--- a/Libraries/LibCaller/KeyCheck.cpp
+++ b/Libraries/LibCaller/KeyCheck.cpp
@@ -1,5 +1,6 @@
 #include <LibCaller/KeyCheck.h>
 
+#include <LibCaller/StaleRetryDelay.h>
 #include <LibCore/Hash.h>
 
 namespace Sapphire {
@@ -7,7 +8,6 @@
 namespace {
 
 constexpr std::string_view scheme = "Bearer ";
-constexpr Milliseconds staleRetryDelay { 1'000 };
 
 Refusal rejected(const std::string &detail)
 {
