LibSteering: Don't let a late report make an incomplete list current

A VM that knew of newer rules took its own for current again when a report with its own digest arrived, even one of a read before the newer one: a delayed or relayed datagram. It then refused for good what the newer rules allow. Change: such a report counts only if its read was not earlier than that of the list that is missing, within the tolerance of timestamps.

--- a/Libraries/LibSteering/ReadSchedule.cpp
+++ b/Libraries/LibSteering/ReadSchedule.cpp
@@ -4,6 +4,13 @@
 
 namespace Sapphire {
 
+namespace {
+
+// Timestamps lose some milliseconds on their way from VM to VM.
+constexpr Milliseconds timestampTolerance { 100 };
+
+} // namespace
+
 bool ReadSchedule::isDue(TimePoint now, std::size_t rank) const
 {
     if (m_isReading) {
@@ -50,9 +57,7 @@
 
 bool ReadSchedule::canSyncFrom(std::uint64_t digest, TimePoint confirmedAt) const
 {
-    // Timestamps lose some milliseconds on their way from VM to VM.
-    constexpr Milliseconds tolerance { 100 };
-    const bool isRecent = confirmedAt >= m_confirmedAt && confirmedAt + tolerance >= m_wantedAt;
+    const bool isRecent = confirmedAt >= m_confirmedAt && confirmedAt + timestampTolerance >= m_wantedAt;
     return m_isIncomplete && (digest == m_wantedDigest || isRecent);
 }
 
@@ -75,7 +80,8 @@
 {
     if (digest == m_digest) {
         m_confirmedAt = std::max(m_confirmedAt, readAt);
-        m_isIncomplete = false;
+        // A report of an earlier read, which arrives late, says nothing about the newer list that this VM lacks.
+        m_isIncomplete = m_isIncomplete && readAt + timestampTolerance < m_wantedAt;
     } else if (readAt > m_confirmedAt) {
         if (!m_isIncomplete) {
             m_peerSyncDeadline = Deadline::after(now, m_settings.peerSyncTimeout);
--- a/Tests/LibSteering/TestReadSchedule.cpp
+++ b/Tests/LibSteering/TestReadSchedule.cpp
@@ -39,6 +39,20 @@
     }
 }
 
+TEST_CASE("ReadSchedule doesn't take a late report of an earlier read for news about a newer list that it lacks")
+{
+    // Guards against a VM that takes its old rules for current again because a datagram was delayed.
+    ReadSchedule schedule = scheduleAfterRead();
+    schedule.noteReportedDigest(otherDigest, start + Milliseconds(1'000), start + Milliseconds(1'010));
+    REQUIRE(schedule.isIncomplete());
+    schedule.noteReportedDigest(digest, start + Milliseconds(500), start + Milliseconds(1'020));
+    CHECK(schedule.isIncomplete());
+    CHECK(schedule.isDue(start + Milliseconds(1'100), later));
+    // The state may have become the earlier one again.
+    schedule.noteReportedDigest(digest, start + Milliseconds(2'000), start + Milliseconds(2'010));
+    CHECK(!schedule.isIncomplete());
+}
+
 TEST_CASE("ReadSchedule reads when the reader becomes silent")
 {
     // Guards against a VM that never learns of a removed target because the reader died.
