LibEntry: Count rules that another VM sent as a list that has to be confirmed

Rules adopted from another VM set the digest only. Besides, VMs that keep different rules beside an unreadable configuration disagreed about its digest and read each second. Change: adopted rules are noted as a list, confirmed when the other VM read them; an unreadable configuration has one digest. Evidence: TestOperatorStateSynchronizer: with an unreachable store and another VM that is alive, no read followed for 5 s before (1 of 6 checks failed); now one does. The digest of an unreadable configuration has no test of its own. TestLibEntry 11 of 11 cases.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -18,8 +18,9 @@
 {
     std::string content = state.rules ? std::to_string(state.rules->version().value()) : "none";
     if (state.isConfigurationUnreadable) {
-        // Other VMs must not take the rules that this VM keeps for the current ones.
-        content += "\nunreadable";
+        // Other VMs must not take the rules that this VM keeps for the current ones. Which rules a VM keeps doesn't
+        // matter: none can have better ones.
+        content = "unreadable";
     }
     for (const AvailabilityZoneId &zone : state.evacuatedZones) {
         content += "\n" + zone.text();
@@ -91,7 +92,8 @@
     return Task([this, update = std::move(*pending), adopted] {
         if (adopted && adopted.value()) {
             m_onState(*adopted.value());
-            schedule().setDigest(digestOf(*adopted.value()));
+            const std::uint64_t digest = digestOf(*adopted.value());
+            schedule().noteAdopted(digest, digest == update.digest ? update.readAt : TimePoint {});
         }
         finishUpdate(update);
     });
