LibCore: Hash keys with an engine that can't fail

Change: POCO's SHA2Engine, which has nothing to look up at run time and no result to ignore. No test can make the old call fail, so none failed first.

--- a/Libraries/LibCore/Hash.cpp
+++ b/Libraries/LibCore/Hash.cpp
@@ -1,10 +1,10 @@
 #include <LibCore/Hash.h>
 
+#include <Poco/SHA2Engine.h>
+
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace Sapphire {
@@ -30,17 +30,11 @@
 
 std::string sha256Hex(std::string_view text)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned int length = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    static constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    hex.reserve(std::size_t { length } * 2);
-    for (unsigned int i = 0; i < length; ++i) {
-        hex += digits[digest[i] >> 4U];
-        hex += digits[digest[i] & 0x0fU];
-    }
-    return hex;
+    // Unlike OpenSSL's, which finds its algorithms at run time, this engine can't fail. A caller would have no use for
+    // a failure: a key without its hash is neither valid nor invalid.
+    Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+    engine.update(text.data(), text.size());
+    return Poco::SHA2Engine::digestToHex(engine.digest());
 }
 
 std::uint64_t stableHash(std::string_view text)
