--- a/Libraries/LibLimit/CustomerLimiter.cpp
+++ b/Libraries/LibLimit/CustomerLimiter.cpp
@@ -70,7 +70,7 @@
     const Lock lock(m_mutex);
     const auto record = configuration->customers.find(attempt.customer);
     if (record == configuration->customers.end()) {
-        return { .admission = { Admission::Kind::UnknownCustomer } };
+        return { .admission = { isFresh ? Admission::Kind::UnknownCustomer : Admission::Kind::NotFresh } };
     }
     CustomerAccount &holder = account(record->second, now);
     if (attempt.isWaiting) {
--- a/Tests/LibLimit/TestCustomerLimiter.cpp
+++ b/Tests/LibLimit/TestCustomerLimiter.cpp
@@ -80,6 +80,7 @@
     CHECK(lend());
     fixture.configuration.isFreshNow = false;
     CHECK(fixture.admit().kind == Admission::Kind::NotFresh);
+    CHECK(fixture.limiter.admit(CustomerId("new"), Deadline::never()).kind == Admission::Kind::NotFresh);
     CHECK_FALSE(lend());
     fixture.configuration.isFreshNow = true;
     CHECK(fixture.admit().isAdmitted());
