LibNet: Keep the answer to an oversized trailer apart from that to an oversized head

Cause: found by the review of 503 in place of 431. The parser reports trailers and chunk extensions over its limit as it does heads; by then the body may be on its way to a target, and 503 would say that the request has not run. Change: the policy's answer is for a head that isn't complete; after it the answer is 431 as before. No test plays a trailer of that size with old rules.

--- a/Libraries/LibNet/HttpRequestHandler.h
+++ b/Libraries/LibNet/HttpRequestHandler.h
@@ -64,6 +64,8 @@
 class HttpServerPolicy
 {
 public:
+    static constexpr int statusHeadTooLarge = 431;
+
     virtual ~HttpServerPolicy() = default;
 
     virtual HttpServerLimits limits() const
@@ -73,7 +75,6 @@
     /// The answer to a request whose head is larger than the limit.
     virtual HttpAnswerHead headTooLargeAnswer() const
     {
-        constexpr int statusHeadTooLarge = 431;
         return { statusHeadTooLarge, {}, {}, {} };
     }
     /// Whether connections must close after their current answer.
--- a/Libraries/LibNet/HttpServerConnection.cpp
+++ b/Libraries/LibNet/HttpServerConnection.cpp
@@ -171,8 +171,12 @@
         }
     }
     const bool isTooLarge = error.code == ErrorCode::ResourceExhausted;
-    answer(isTooLarge ? m_policy.headTooLargeAnswer() : HttpAnswerHead { statusBadRequest, {}, {}, {} },
-           error.message + "\n");
+    if (isTooLarge && !m_parser.isHeadComplete()) {
+        answer(m_policy.headTooLargeAnswer(), error.message + "\n");
+        return;
+    }
+    // After the head, the body may be on its way to a target, so that no answer may say that the request has not run.
+    answer({ isTooLarge ? HttpServerPolicy::statusHeadTooLarge : statusBadRequest, {}, {}, {} }, error.message + "\n");
 }
 
 void HttpServerConnection::startAnswer(const HttpAnswerHead &head)
