LibGateway, platform: Treat unreadable limits and an unreadable "public" as unknown

Change: requests over such a limit are refused for now; such a route is unreadable. Evidence: three new checks of TestRulesFormat; a body one byte over the limit gets 413, an unsealed 500 is forwarded.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -296,13 +296,13 @@
     m_metrics.counter("sapphire_refusals_total", "reason=\"" + std::string(nameOf(refusal.reason)) + "\"").add();
 }
 
-void Gateway::noteDenied(RefusalReason reason, bool isFinal)
+void Gateway::noteRefusedByRules(RefusalReason reason, bool isFinal)
 {
     m_metrics
-        .counter("sapphire_denials_total",
+        .counter("sapphire_rules_refusals_total",
                  "reason=\"" + std::string(nameOf(reason)) + "\",final=\"" + (isFinal ? "yes" : "no") + "\"")
         .add();
-    m_metrics.histogram("sapphire_denial_rules_age_seconds").record(m_loop.now() - m_rulesConfirmation().at);
+    m_metrics.histogram("sapphire_rules_refusal_age_seconds").record(m_loop.now() - m_rulesConfirmation().at);
 }
 
 void Gateway::noteTargetDied(const TargetId &target)
@@ -343,7 +343,7 @@
 
 HttpAnswerHead Gateway::headTooLargeAnswer() const
 {
-    if (areRulesCurrent()) {
+    if (areRulesCurrent() && !rules()->limits().areSizesUnreadable) {
         return HttpServerPolicy::headTooLargeAnswer();
     }
     return headOf({ RefusalReason::NotFresh, Verdict::NotRun, "", shortRetryTime() }, m_loop.now());
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -119,7 +119,7 @@
     void noteTimeout(const GatewayRequest &request, RequestAttempt &attempt);
     void noteRefused(const Refusal &refusal);
     /// The rules don't allow a request. `isFinal` tells whether its caller is told so, or is asked to come back.
-    void noteDenied(RefusalReason reason, bool isFinal);
+    void noteRefusedByRules(RefusalReason reason, bool isFinal);
     /// The target accepts no connections, or has restarted.
     void noteTargetDied(const TargetId &target);
     void noteEnded(GatewayRequest &request);
--- a/Libraries/LibGateway/GatewayEvents.h
+++ b/Libraries/LibGateway/GatewayEvents.h
@@ -9,7 +9,7 @@
 inline constexpr EventType requestAbandoned { 10002, "request-abandoned", Severity::Info };
 inline constexpr EventType attemptFailed { 10003, "attempt-failed", Severity::Info };
 inline constexpr EventType answerAborted { 10004, "answer-aborted", Severity::Warning };
-inline constexpr EventType requestDenied { 10005, "request-denied", Severity::Info };
+inline constexpr EventType refusedByRules { 10005, "refused-by-rules", Severity::Info };
 inline constexpr EventType targetAdded { 10010, "target-added", Severity::Info };
 inline constexpr EventType targetChanged { 10011, "target-changed", Severity::Info };
 inline constexpr EventType targetRemoved { 10012, "target-removed", Severity::Info };
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -89,7 +89,7 @@
             m_attempt->abandon();
         }
         if (m_attempts == 0) {
-            deny(RefusalReason::TooLarge, "the body is larger than the limit");
+            refuseByRules(RefusalReason::TooLarge, "the body is larger than the limit");
         } else {
             refuse(RefusalReason::TooLarge, Verdict::MayHaveRun, "the body is larger than the limit");
         }
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -102,7 +102,9 @@
     bool checkRoute();
     bool checkCustomer();
     /// Refuses the request as wrong by the rules. Refuses it only for now if this VM's rules may lack what allows it.
-    void deny(RefusalReason reason, const std::string &detail);
+    void refuseByRules(RefusalReason reason, const std::string &detail);
+    /// Whether the rules could not be read in the part that decides about the reason.
+    bool mayRulesLack(RefusalReason reason) const;
     bool isBodyReady() const;
     void submit();
 
@@ -120,7 +122,7 @@
     void abortAnswer(RequestAttempt &attempt, const std::string &detail);
     void logRefusal(const Refusal &refusal) const;
     /// Logs what distinguishes a wrong request from one that this VM's rules lack.
-    void logDenial(RefusalReason reason, bool isFinal) const;
+    void logRefusalByRules(RefusalReason reason, bool isFinal) const;
     void logFailure(RequestAttempt &attempt, const AttemptFailure &failure) const;
     void logAnswer(RequestAttempt &attempt) const;
     void end();
--- a/Libraries/LibGateway/GatewayRequestAdmission.cpp
+++ b/Libraries/LibGateway/GatewayRequestAdmission.cpp
@@ -29,7 +29,7 @@
         return false;
     }
     if (m_caller.bodyBytes.value_or(0) > m_rules->limits().bodyBytes) {
-        deny(RefusalReason::TooLarge, "the body is larger than the limit");
+        refuseByRules(RefusalReason::TooLarge, "the body is larger than the limit");
         return false;
     }
     return checkRoute() && checkCustomer();
@@ -39,7 +39,7 @@
 {
     m_route = m_rules->findRoute(m_caller.host, m_caller.path());
     if (m_route == nullptr) {
-        deny(RefusalReason::NoSuchService, "no route for host and path");
+        refuseByRules(RefusalReason::NoSuchService, "no route for host and path");
         return false;
     }
     m_service = m_gateway.split().choose(*m_route);
@@ -56,20 +56,29 @@
         return true;
     }
     if (m_customer == nullptr) {
-        deny(RefusalReason::KeyRejected, "unknown key");
+        refuseByRules(RefusalReason::KeyRejected, "unknown key");
         return false;
     }
     return true;
 }
 
-void GatewayRequest::deny(RefusalReason reason, const std::string &detail)
+bool GatewayRequest::mayRulesLack(RefusalReason reason) const
 {
-    const bool isUncertain = reason == RefusalReason::NoSuchService
-        ? m_rules->isRouteUncertain(m_caller.host, m_caller.path())
-        : reason == RefusalReason::KeyRejected && m_rules->areKeysUncertain();
-    const bool isFinal = m_gateway.areRulesCurrent() && !isUncertain;
-    m_gateway.noteDenied(reason, isFinal);
-    logDenial(reason, isFinal);
+    switch (reason) {
+    case RefusalReason::NoSuchService:
+        return m_rules->isRouteUncertain(m_caller.host, m_caller.path());
+    case RefusalReason::KeyRejected:
+        return m_rules->areKeysUncertain();
+    default:
+        return m_rules->limits().areSizesUnreadable;
+    }
+}
+
+void GatewayRequest::refuseByRules(RefusalReason reason, const std::string &detail)
+{
+    const bool isFinal = m_gateway.areRulesCurrent() && !mayRulesLack(reason);
+    m_gateway.noteRefusedByRules(reason, isFinal);
+    logRefusalByRules(reason, isFinal);
     if (isFinal) {
         refuse(reason, Verdict::NotRun, detail);
         return;
--- a/Libraries/LibGateway/GatewayRequestLog.cpp
+++ b/Libraries/LibGateway/GatewayRequestLog.cpp
@@ -35,14 +35,14 @@
           { "detail", refusal.detail } });
 }
 
-void GatewayRequest::logDenial(RefusalReason reason, bool isFinal) const
+void GatewayRequest::logRefusalByRules(RefusalReason reason, bool isFinal) const
 {
     const RulesHistory &history = m_gateway.rulesHistory();
     const RulesConfirmation confirmation = m_gateway.rulesConfirmation();
     const ConfigurationVersion earlier = reason == RefusalReason::KeyRejected
         ? history.earlierVersionWithKey(m_caller.key)
         : history.earlierVersionWithRoute(m_caller.host, m_caller.path());
-    logEvent(GatewayEvents::requestDenied,
+    logEvent(GatewayEvents::refusedByRules,
              { { "request", m_caller.id },
                { "reason", nameOf(reason) },
                { "final", isFinal },
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -235,8 +235,8 @@
         return isSealed() && !m_answer.header("Content-Encoding");
     }
     // Other server errors say nothing that a caller relies on.
-    const bool saysNothing = m_answer.status >= firstServerError && m_answer.status != statusUnavailable;
-    return isSealed() || saysNothing;
+    const bool isGenericServerError = m_answer.status >= firstServerError && m_answer.status != statusUnavailable;
+    return isSealed() || isGenericServerError;
 }
 
 void RequestAttempt::end()
--- a/Libraries/LibSteering/ServingRules.cpp
+++ b/Libraries/LibSteering/ServingRules.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // In place of the index of a route that could not be read.
-constexpr auto unreadableRoute = static_cast<std::size_t>(-1);
+constexpr auto unreadableIndex = static_cast<std::size_t>(-1);
 
 std::string hostWithoutPort(std::string_view host)
 {
@@ -31,7 +31,7 @@
     }
     for (const UnreadableRoute &route : m_content.unreadableRoutes) {
         if (!route.host.empty()) {
-            m_routesByHost[hostWithoutPort(route.host)].emplace(route.pathPrefix, unreadableRoute);
+            m_routesByHost[hostWithoutPort(route.host)].emplace(route.pathPrefix, unreadableIndex);
         }
     }
     for (std::size_t i = 0; i < m_content.customers.size(); ++i) {
@@ -47,7 +47,7 @@
 const Route *ServingRules::findRoute(std::string_view host, std::string_view path) const
 {
     const std::optional<std::size_t> index = findRouteIndex(host, path);
-    return index && *index != unreadableRoute ? &m_content.routes[*index] : nullptr;
+    return index && *index != unreadableIndex ? &m_content.routes[*index] : nullptr;
 }
 
 bool ServingRules::isRouteUncertain(std::string_view host, std::string_view path) const
@@ -56,7 +56,7 @@
                                             [](const UnreadableRoute &route) {
                                                 return route.host.empty();
                                             });
-    return isAnyUncertain || findRouteIndex(host, path) == unreadableRoute;
+    return isAnyUncertain || findRouteIndex(host, path) == unreadableIndex;
 }
 
 std::optional<std::size_t> ServingRules::findRouteIndex(std::string_view host, std::string_view path) const
--- a/Libraries/LibSteering/ServingRules.h
+++ b/Libraries/LibSteering/ServingRules.h
@@ -67,13 +67,14 @@
     std::uint64_t bodyBytes { 64ULL * 1024 * 1024 };
     Milliseconds headTimeout { 3'000 }; ///< From the first to the last byte of a request head.
     Milliseconds idleTimeout { 15'000 }; ///< Between two requests on a connection.
+    bool areSizesUnreadable { false }; ///< The defaults stand in for a limit of bytes that could not be read.
 };
 
-/// A route of the configuration that could not be read. What is known of it stays, so that its requests are neither
-/// taken for wrong nor handled by another route.
+/// A route of the configuration that could not be read. If host and path prefix are known, its requests are neither
+/// taken for wrong nor handled by a route with a shorter prefix.
 struct UnreadableRoute
 {
-    std::string host; ///< Empty if host or path prefix could not be read: any request may be its.
+    std::string host; ///< Empty if host or path prefix could not be read.
     std::string pathPrefix;
 };
 
@@ -145,12 +146,12 @@
     const ServiceRules *findService(const ServiceId &service) const;
 
 private:
-    /// Returns the index of the route of the host with the longest matching path prefix, `unreadableRoute` if it could
+    /// Returns the index of the route of the host with the longest matching path prefix, `unreadableIndex` if it could
     /// not be read, or nothing.
     std::optional<std::size_t> findRouteIndex(std::string_view host, std::string_view path) const;
 
     Content m_content;
-    /// By host and path prefix: the index of the route, or `unreadableRoute`.
+    /// By host and path prefix: the index of the route, or `unreadableIndex`.
     std::unordered_map<std::string, std::map<std::string, std::size_t, std::less<>>> m_routesByHost;
     std::unordered_map<std::string, std::size_t> m_customersByKeyHash;
     std::unordered_map<ServiceId, std::size_t> m_servicesById;
--- a/Tests/LibGateway/TestDenials.cpp
+++ b/Tests/LibGateway/TestDenials.cpp
@@ -147,6 +147,8 @@
     fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
     const std::string chunk = "fa;name=value\r\n" + std::string(250, 'b') + "\r\n";
     const std::string chunks = chunk + chunk + chunk + chunk + "0\r\n\r\n";
+    const CallerAnswer larger = fixture.call("POST", "/book/a", "", std::string(mostBodyBytes + 1, 'b'));
+    CHECK(larger.status == 413);
     for (const bool isChunked : { false, true }) {
         CAPTURE(isChunked);
         std::string head = "POST /book/a HTTP/1.1\r\nHost: H.example:8080\r\nRequest-Id: r1\r\nDeadline-Ms: 0900\r\n"
--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -202,6 +202,18 @@
     }
 }
 
+TEST_CASE("A server error without the target's seal is forwarded, since it promises nothing")
+{
+    // Guards against a target that is taken out for its own plain errors.
+    ScriptedTarget target(answering([](const std::string &) {
+        return "HTTP/1.1 500 Broken\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n";
+    }));
+    GatewayFixture fixture;
+    fixture.applyRules();
+    fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
+    CHECK(fixture.call("POST", "/book/a", "", "order").status == 500);
+}
+
 TEST_CASE("An error of the caller's that a target has sealed is forwarded unchanged")
 {
     // Guards against a target's own judgement of a request that callers don't get to see.
--- a/Tests/Platform/TestRulesFormat.cpp
+++ b/Tests/Platform/TestRulesFormat.cpp
@@ -66,7 +66,7 @@
     CHECK(read.findCustomer("k2")->burst == 25);
 }
 
-TEST_CASE("What an unreadable entry may allow is known to be unknown")
+TEST_CASE("Rules tell which requests may belong to an entry that can't be read")
 {
     // Guards against proper requests that are refused as wrong, or run elsewhere, because their entry can't be read.
     const auto readWith = [](const std::string &from, const std::string &to) {
@@ -101,6 +101,10 @@
         CHECK(read->areKeysUncertain());
     }
     CHECK(!rules->areKeysUncertain());
+    CHECK(readWith("\"public\":false", "\"public\":\"yes\"")->isRouteUncertain("h.example", "/a/1"));
+    CHECK(!rules->limits().areSizesUnreadable);
+    CHECK(readWith("16384", "\"16384\"")->limits().areSizesUnreadable);
+    CHECK(readWith("\"max_body_bytes\":1000", "\"max_body_bytes\":-1")->limits().areSizesUnreadable);
 }
 
 TEST_CASE("A route or customer whose regions can't be read is not allowed everywhere")
