LibSteering: Let rules from another VM wait for a report before they count as current

Change: noteReceived() sets digest and list only; finishUpdate() decides by the report whether the list is complete.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -92,8 +92,7 @@
     return Task([this, update = std::move(*pending), adopted] {
         if (adopted && adopted.value()) {
             m_onState(*adopted.value());
-            const std::uint64_t digest = digestOf(*adopted.value());
-            schedule().noteAdopted(digest, digest == update.digest ? update.readAt : TimePoint {});
+            schedule().noteReceived(digestOf(*adopted.value()));
         }
         finishUpdate(update);
     });
--- a/Libraries/LibSteering/ReadSchedule.h
+++ b/Libraries/LibSteering/ReadSchedule.h
@@ -71,6 +71,12 @@
     {
         m_digest = digest;
     }
+    /// This VM has a whole list with this digest from another VM's message. Whether it is current follows from reports.
+    void noteReceived(std::uint64_t digest)
+    {
+        m_digest = digest;
+        m_hasList = true;
+    }
     /// This VM has adopted a whole list, which was confirmed at the given time.
     void noteAdopted(std::uint64_t digest, TimePoint confirmedAt);
 
--- a/Tests/LibSteering/TestReadSchedule.cpp
+++ b/Tests/LibSteering/TestReadSchedule.cpp
@@ -48,8 +48,13 @@
     schedule.noteReportedDigest(digest, start + Milliseconds(500), start + Milliseconds(1'020));
     CHECK(schedule.isIncomplete());
     CHECK(schedule.isDue(start + Milliseconds(1'100), later));
+    // Nor a late list that is newer than its own and older than the one that it lacks.
+    constexpr std::uint64_t middleDigest = 8;
+    schedule.noteReceived(middleDigest);
+    schedule.noteReportedDigest(middleDigest, start + Milliseconds(700), start + Milliseconds(1'030));
+    CHECK(schedule.isIncomplete());
     // The state may have become the earlier one again.
-    schedule.noteReportedDigest(digest, start + Milliseconds(2'000), start + Milliseconds(2'010));
+    schedule.noteReportedDigest(middleDigest, start + Milliseconds(2'000), start + Milliseconds(2'010));
     CHECK(!schedule.isIncomplete());
 }
 
