--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -128,8 +128,7 @@
 {
     const RefPointer<Service> service = find(head.service);
     if (!service) {
-        // The caller's VM knows the service, so that this one has not learnt of it yet.
-        return { Refusal { RefusalReason::NotFresh, Verdict::NotRun, "no service " + head.service.text() + " yet" } };
+        return { Refusal { RefusalReason::NoSuchService, Verdict::NotRun, "no service " + head.service.text() } };
     }
     // Read before a target is chosen, so that a caller that sends a small body slowly occupies no slot.
     ReplayableBody replayable(body);
