LibPeer, LibEntry: Tell which documents are sent and lost, and for how long a VM is behind

No log or metric could tell whether a rules' document was sent, to how many VMs, in how many parts and bytes; whether it could not be joined; whether the kernel refused datagrams; and that a VM knows of newer rules than its own, and since when.

New: events 12012 list-behind (once a second has passed), 13005 document-sent and 13006 document-lost; gauges sapphire_rules_behind_seconds, sapphire_peer_documents_sent, ..._received and ..._lost, sapphire_peer_sent_bytes and sapphire_peer_refused_datagrams.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -69,6 +69,7 @@
         return m_gateway->rules() ? static_cast<double>(m_gateway->rules()->version().value()) : 0;
     });
     BOOST_LEAF_ASSIGN(m_peers, PeerNetwork::create(*m_loop, m_own, m_roster, m_gateway->quotas()));
+    registerPeerMetrics();
     m_gateway->quotaWaiters().setSource(*this);
     m_gateway->dispatcher().setDemandSource(*this);
     m_peers->onSuspect([this](const CrashSuspect &suspect) {
@@ -103,6 +104,20 @@
     return {};
 }
 
+void EntryDaemon::registerPeerMetrics()
+{
+    const auto gauge = [this](const char *name, std::uint64_t PeerStatistics::*value) {
+        m_metrics.gauge(name, "", [this, value] {
+            return static_cast<double>(m_peers->statistics().*value);
+        });
+    };
+    gauge("sapphire_peer_sent_bytes", &PeerStatistics::sentBytes);
+    gauge("sapphire_peer_refused_datagrams", &PeerStatistics::refusedDatagrams);
+    gauge("sapphire_peer_documents_sent", &PeerStatistics::sentDocuments);
+    gauge("sapphire_peer_documents_received", &PeerStatistics::receivedDocuments);
+    gauge("sapphire_peer_documents_lost", &PeerStatistics::lostDocuments);
+}
+
 Result<std::unique_ptr<SimpleHttpServer>> EntryDaemon::serve(const std::string &address, const std::string &path,
                                                              std::function<SimpleAnswer()> answer)
 {
@@ -126,6 +141,9 @@
             m_isConfigurationUnreadable = state.isConfigurationUnreadable;
             m_gateway->applyEvacuations(state.evacuatedZones);
         });
+    m_metrics.gauge("sapphire_rules_behind_seconds", "", [this] {
+        return std::chrono::duration<double>(m_operatorStateSynchronizer->behindFor()).count();
+    });
     m_gateway->setRulesConfirmation([this] {
         return RulesConfirmation { m_operatorStateSynchronizer->confirmedAt(),
                                    m_operatorStateSynchronizer->isIncomplete() || m_isConfigurationUnreadable };
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -50,6 +50,7 @@
     /// Starts a server that answers one path at an address; returns null if the address is empty.
     Result<std::unique_ptr<SimpleHttpServer>> serve(const std::string &address, const std::string &path,
                                                     std::function<SimpleAnswer()> answer);
+    void registerPeerMetrics();
     void startSynchronizers();
     Result<void> synchronizeVmList();
     std::vector<VmId> takeGoneVms();
--- a/Libraries/LibEntry/EntryEvents.h
+++ b/Libraries/LibEntry/EntryEvents.h
@@ -13,6 +13,8 @@
 inline constexpr EventType listRead { 12009, "list-read", Severity::Info };
 inline constexpr EventType listTold { 12010, "list-told", Severity::Info };
 inline constexpr EventType listTakenOver { 12011, "list-taken-over", Severity::Info };
+/// This VM has known for a second that there is a newer list than its own.
+inline constexpr EventType listBehind { 12012, "list-behind", Severity::Warning };
 inline constexpr EventType settingsReloaded { 12006, "settings-reloaded", Severity::Info };
 inline constexpr EventType settingsRejected { 12007, "settings-rejected", Severity::Error };
 inline constexpr EventType loopOverloaded { 12008, "loop-overloaded", Severity::Error };
--- a/Libraries/LibEntry/SharedSourceSynchronizer.cpp
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.cpp
@@ -5,6 +5,7 @@
 #include <LibEntry/EntryEvents.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Sapphire {
 
@@ -18,6 +19,8 @@
 constexpr Milliseconds rosterTime { 500 };
 // The first VMs in the order of readers broadcast what they have read; later ones read for themselves only.
 constexpr std::size_t broadcastingReaders = 3;
+// A VM that has been behind for longer than this says so in its log.
+constexpr Milliseconds longestBehind { 1'000 };
 
 } // namespace
 
@@ -69,9 +72,29 @@
         m_isReadDue = true;
         m_poller->runSoon();
     }
+    reportBehind();
     m_timer.start(Deadline::after(now, checkInterval));
 }
 
+void SharedSourceSynchronizer::reportBehind()
+{
+    const Microseconds behind = behindFor();
+    if (behind < longestBehind) {
+        m_isBehindReported = false;
+        return;
+    }
+    if (!std::exchange(m_isBehindReported, true)) {
+        logEvent(EntryEvents::listBehind,
+                 { { "list", sourceName() },
+                   { "digest", m_schedule.digest() },
+                   { "wantedDigest", m_schedule.wantedDigest() },
+                   { "behindMilliseconds", std::chrono::duration_cast<Milliseconds>(behind).count() },
+                   { "confirmedMillisecondsAgo", millisecondsBetween(m_schedule.confirmedAt(), m_context.loop.now()) },
+                   { "readFailed", m_schedule.hasFailed() },
+                   { "rank", m_rank } });
+    }
+}
+
 Result<void> SharedSourceSynchronizer::step()
 {
     if (std::optional<Task> task = processPendingUpdate()) {
--- a/Libraries/LibEntry/SharedSourceSynchronizer.h
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.h
@@ -47,6 +47,12 @@
     {
         return m_schedule.isIncomplete();
     }
+    /// For how long this VM has known that there is a newer list than its own; zero if it knows of none.
+    Microseconds behindFor() const
+    {
+        const TimePoint now = m_context.loop.now();
+        return now - m_schedule.behindSince(now);
+    }
     /// Checks at once whether a read is due. To be called when the list of VMs has changed.
     void check();
 
@@ -110,6 +116,8 @@
     /// another region, directly or forwarded, or from a VM before this one in the order of readers.
     void noteOrigin(const SourceUpdate &update);
     void broadcast(const SourceUpdate &update);
+    /// Logs once that this VM has been behind for long.
+    void reportBehind();
     Result<void> step();
     Result<void> readList();
 
@@ -120,6 +128,7 @@
     Deadline m_rosterDeadline; ///< Until then reads wait for the list of VMs.
     Deadline m_unreadableUntil; ///< Until then this VM announces that it can't read.
     std::size_t m_rank { 0 }; ///< This VM's position in the order of readers.
+    bool m_isBehindReported { false };
     std::atomic<bool> m_isReader { false };
     std::atomic<bool> m_isReadDue { false }; ///< The schedule has begun a read that the thread has not made yet.
     std::atomic<bool> m_isReadEndUnreported { false }; ///< A read has ended, but the loop took no task for it.
--- a/Libraries/LibPeer/DocumentParts.cpp
+++ b/Libraries/LibPeer/DocumentParts.cpp
@@ -65,6 +65,7 @@
         return std::nullopt;
     }
     if (digest != m_digest || count != m_parts.size()) {
+        m_lostDocuments += m_parts.empty() ? 0 : 1;
         m_digest = digest;
         m_parts.assign(count, std::nullopt);
     }
@@ -77,7 +78,9 @@
         bytes += *known;
     }
     m_parts.clear();
-    return decompress(bytes);
+    std::optional<std::string> document = decompress(bytes);
+    m_lostDocuments += document ? 0 : 1;
+    return document;
 }
 
 } // namespace Sapphire
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -193,13 +193,30 @@
         sendUpdate(datagram);
     }
     message.set_parts(static_cast<std::uint32_t>(parts.size()));
+    std::size_t receivers = 0;
+    std::size_t bytes = 0;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         message.set_part(static_cast<std::uint32_t>(i));
         message.set_document_part(parts[i]);
-        sendUpdate(datagram);
+        receivers = sendUpdate(datagram);
+        bytes += parts[i].size();
+    }
+    m_sentDocuments += receivers;
+    if (!update.document.empty()) {
+        logEvent(PeerEvents::documentSent,
+                 { { "digest", update.digest },
+                   { "parts", parts.size() },
+                   { "bytes", bytes },
+                   { "receivers", receivers } });
     }
 }
 
+PeerStatistics PeerNetwork::statistics() const
+{
+    return { m_socket->sentBytes(), m_socket->refusedDatagrams(), m_sentDocuments, m_receivedDocuments,
+             m_documentParts.lostDocuments() };
+}
+
 void PeerNetwork::sendToRelays(const SourceUpdate &update, std::string_view sourceName)
 {
     peer::Datagram datagram;
@@ -222,12 +239,18 @@
     }
     update->origin = message.told_by().empty() ? sender.vm : VmId(message.told_by());
     if (message.parts() > 0) {
+        const std::uint64_t lostBefore = m_documentParts.lostDocuments();
         std::optional<std::string> document =
             m_documentParts.add(update->digest, message.part(), message.parts(), message.document_part());
+        if (m_documentParts.lostDocuments() != lostBefore) {
+            logEvent(PeerEvents::documentLost,
+                     { { "vm", sender.vm }, { "digest", update->digest }, { "parts", message.parts() } });
+        }
         if (!document) {
             // If a part was lost, a later update carries the same digest and reveals the gap.
             return;
         }
+        ++m_receivedDocuments;
         update->document = std::move(*document);
     }
     m_onUpdate(*update);
@@ -276,16 +299,20 @@
     sendToAll(m_roster.peersIn(region), datagram);
 }
 
-void PeerNetwork::sendUpdate(const peer::Datagram &datagram)
+std::size_t PeerNetwork::sendUpdate(const peer::Datagram &datagram)
 {
     if (!m_roster.isRegionLarge()) {
-        sendTo(m_own.locality.region, datagram);
-        return;
+        const std::vector<VmRecord> peers = m_roster.peersIn(m_own.locality.region);
+        sendToAll(peers, datagram);
+        return peers.size();
     }
-    sendToAll(m_roster.peersInZone(), datagram);
+    const std::vector<VmRecord> peers = m_roster.peersInZone();
+    const std::vector<VmRecord> relays = m_roster.zoneRelays(m_loop.now());
+    sendToAll(peers, datagram);
     peer::Datagram toForward = datagram;
     toForward.set_is_to_pass_on(true);
-    sendToAll(m_roster.zoneRelays(m_loop.now()), toForward);
+    sendToAll(relays, toForward);
+    return peers.size() + relays.size();
 }
 
 void PeerNetwork::forward(const VmRecord &sender, const peer::Datagram &datagram)
@@ -299,7 +326,20 @@
     for (peer::Reading &update : *forwarded.mutable_readings()) {
         update.set_told_by(sender.vm.text());
     }
-    sendToAll(m_roster.peersInZone(), forwarded);
+    const std::vector<VmRecord> peers = m_roster.peersInZone();
+    sendToAll(peers, forwarded);
+    for (const peer::Reading &update : forwarded.readings()) {
+        if (update.parts() > 0) {
+            m_sentDocuments += peers.size();
+            logEvent(PeerEvents::documentSent,
+                     { { "digest", update.digest() },
+                       { "part", update.part() },
+                       { "parts", update.parts() },
+                       { "bytes", update.document_part().size() },
+                       { "receivers", peers.size() },
+                       { "origin", sender.vm } });
+        }
+    }
 }
 
 void PeerNetwork::broadcastSuspect(const CrashSuspect &suspect)
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -15,6 +15,16 @@
 
 namespace Sapphire {
 
+/// What a VM has sent to the others and received from them, since its process started.
+struct PeerStatistics
+{
+    std::uint64_t sentBytes { 0 }; ///< Of datagrams that the kernel has accepted.
+    std::uint64_t refusedDatagrams { 0 }; ///< By the kernel.
+    std::uint64_t sentDocuments { 0 }; ///< Copies of documents, one for each receiver.
+    std::uint64_t receivedDocuments { 0 };
+    std::uint64_t lostDocuments { 0 }; ///< Of which at least one part was received.
+};
+
 /// Exchanges datagrams with the other VMs of a deployment: heartbeats, silent VMs and source updates with the VMs of
 /// the own region; demand reports and updates for relays with other regions; loans, target synchronization and crash
 /// suspects with any VM.
@@ -72,6 +82,7 @@
     {
         m_demandProvider = std::move(provider);
     }
+    PeerStatistics statistics() const;
     const DemandTracker &demands() const
     {
         return m_demands;
@@ -102,8 +113,8 @@
     void takeTargets(const VmRecord &sender, const peer::Datagram &datagram);
     void sendTo(const RegionId &region, const peer::Datagram &datagram);
     /// Sends source updates to all VMs of the own region. In a large region, one VM of each other availability zone
-    /// forwards them within its zone, since traffic between zones is billed.
-    void sendUpdate(const peer::Datagram &datagram);
+    /// forwards them within its zone, since traffic between zones is billed. Returns how many VMs this one sent them to.
+    std::size_t sendUpdate(const peer::Datagram &datagram);
     /// Forwards the updates of another VM's datagram to the VMs of the own availability zone, with that VM as origin.
     void forward(const VmRecord &sender, const peer::Datagram &datagram);
     /// Tells one VM of each region what it may not know: the demand of the own region, and crash suspects.
@@ -151,6 +162,8 @@
     Deadline m_backlogUntil; ///< Until then, received datagrams may have waited during a pause.
     Deadline m_silenceUnreliableUntil; ///< Until then, live VMs may look silent because this one was paused.
     std::uint64_t m_rejected { 0 };
+    std::uint64_t m_sentDocuments { 0 };
+    std::uint64_t m_receivedDocuments { 0 };
 };
 
 } // namespace Sapphire
--- a/Libraries/LibPeer/PeerSocket.cpp
+++ b/Libraries/LibPeer/PeerSocket.cpp
@@ -44,7 +44,9 @@
     const ssize_t sent =
         ::sendto(m_socket.impl()->sockfd(), bytes.data(), bytes.size(), MSG_DONTWAIT, address.addr(), address.length());
     if (sent < 0) {
-        ++m_lost;
+        ++m_refusedDatagrams;
+    } else {
+        m_sentBytes += static_cast<std::uint64_t>(sent);
     }
 }
 
--- a/Libraries/LibPeer/PeerSocket.h
+++ b/Libraries/LibPeer/PeerSocket.h
@@ -26,9 +26,14 @@
     /// Sends without blocking. A datagram that the kernel does not accept is lost.
     void send(const Poco::Net::SocketAddress &address, const std::string &bytes);
     /// Returns how many datagrams the kernel did not accept.
-    std::uint64_t lostCount() const
+    std::uint64_t refusedDatagrams() const
     {
-        return m_lost;
+        return m_refusedDatagrams;
+    }
+    /// Returns how many bytes of datagrams the kernel has accepted.
+    std::uint64_t sentBytes() const
+    {
+        return m_sentBytes;
     }
 
 private:
@@ -39,7 +44,8 @@
     EventLoop &m_loop;
     Poco::Net::DatagramSocket m_socket;
     Receiver m_receiver;
-    std::uint64_t m_lost { 0 };
+    std::uint64_t m_refusedDatagrams { 0 };
+    std::uint64_t m_sentBytes { 0 };
 };
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/ReadSchedule.cpp
+++ b/Libraries/LibSteering/ReadSchedule.cpp
@@ -86,6 +86,9 @@
         if (!m_isIncomplete) {
             m_peerSyncDeadline = Deadline::after(now, m_settings.peerSyncTimeout);
         }
+        if (!m_isIncomplete || m_incompleteSince == TimePoint {}) {
+            m_incompleteSince = now;
+        }
         m_isIncomplete = true;
         if (readAt >= m_wantedAt) {
             m_wantedAt = readAt;
--- a/Libraries/LibSteering/ReadSchedule.h
+++ b/Libraries/LibSteering/ReadSchedule.h
@@ -101,6 +101,22 @@
     {
         return m_isIncomplete;
     }
+    /// Returns since when this VM, which has a list, has known that there is a newer one; `now` if it knows of none.
+    TimePoint behindSince(TimePoint now) const
+    {
+        const bool isBehind = m_hasList && m_isIncomplete && m_incompleteSince != TimePoint {};
+        return isBehind ? m_incompleteSince : now;
+    }
+    /// Returns the digest of the newest list that another VM has read.
+    std::uint64_t wantedDigest() const
+    {
+        return m_wantedDigest;
+    }
+    /// Returns whether the last read failed.
+    bool hasFailed() const
+    {
+        return m_hasFailed;
+    }
 
 private:
     bool isIncompleteReadDue(TimePoint now) const;
@@ -112,6 +128,7 @@
     TimePoint m_confirmedAt {};
     std::uint64_t m_wantedDigest { 0 }; ///< Of the newest list that another VM has read.
     TimePoint m_wantedAt {}; ///< When the other VM read it.
+    TimePoint m_incompleteSince {}; ///< When this VM heard of the first list that it lacks.
     Deadline m_peerSyncDeadline {}; ///< Until then an incomplete VM waits for other VMs.
     bool m_isReading { false };
     bool m_hasFailed { false }; ///< The last read failed.
