--- a/Tests/LibPeer/TestDocumentParts.cpp
+++ b/Tests/LibPeer/TestDocumentParts.cpp
@@ -52,6 +52,27 @@
     CHECK(receiver.add(1, 0, 2, first[0]) == randomText(10'000));
 }
 
+TEST_CASE("DocumentParts joins two documents whose parts arrive by turns")
+{
+    // Guards against rules that are lost because several VMs broadcast at the same time.
+    const std::string firstText = randomText(10'000);
+    const std::string secondText = randomText(11'000);
+    const std::vector<std::string> first = divideDocument(firstText);
+    const std::vector<std::string> second = divideDocument(secondText);
+    DocumentParts receiver;
+    CHECK(!receiver.add(1, 0, 2, first[0]));
+    CHECK(!receiver.add(2, 0, 2, second[0]));
+    CHECK(receiver.add(1, 1, 2, first[1]) == firstText);
+    CHECK(receiver.add(2, 1, 2, second[1]) == secondText);
+}
+
+TEST_CASE("A document as large as the platform's store takes it can be sent")
+{
+    // Guards against a large configuration that no VM gets from another one.
+    constexpr std::size_t mostRowBytes = 65'536;
+    CHECK(!divideDocument(randomText(mostRowBytes)).empty());
+}
+
 TEST_CASE("DocumentParts rejects invalid parts")
 {
     // Guards against datagrams of another release or another program that crash this process.
--- a/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
+++ b/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
@@ -6,11 +6,10 @@
 
 namespace {
 
-constexpr int vmsPerZone = 4;
 // An update that is forwarded in a loop would arrive again within this time.
 constexpr Milliseconds repeatWindow { 1'000 };
 
-std::vector<Locality> twoZones()
+std::vector<Locality> twoZones(int vmsPerZone)
 {
     std::vector<Locality> places;
     for (const char *zone : { "cuyo-a", "cuyo-b" }) {
@@ -37,11 +36,35 @@
 
 } // namespace
 
+TEST_CASE("No VM sends a document to more than a few others, and all VMs receive it")
+{
+    // Guards against copies that the link of a small VM drops, since all of them are sent at once.
+    constexpr std::size_t mostCopies = 4;
+    PeerVms region(twoZones(20));
+    startLargeRegion(region);
+    SourceUpdate update;
+    update.digest = 7;
+    update.readAt = region.now();
+    update.document = "document";
+    region.vms().front().network->broadcastUpdate(update);
+    CHECK(region.runUntil([&region] {
+        return std::all_of(region.vms().begin() + 1, region.vms().end(), [](const PeerVm &vm) {
+            return std::any_of(vm.received.begin(), vm.received.end(), [](const SourceUpdate &received) {
+                return received.document == "document";
+            });
+        });
+    }));
+    for (const PeerVm &vm : region.vms()) {
+        CAPTURE(vm.record.vm);
+        CHECK(vm.network->statistics().sentDocuments <= mostCopies);
+    }
+}
+
 TEST_CASE("Every VM of a large region receives an update once and knows its origin, also through a relay")
 {
     // Guards against VMs of another availability zone that miss the update, take the relay for the reader, or forward
     // the update in a loop.
-    PeerVms region(twoZones());
+    PeerVms region(twoZones(4));
     startLargeRegion(region);
     SourceUpdate update;
     update.kind = SourceKind::Targets;
