--- a/Libraries/LibPeer/DocumentParts.h
+++ b/Libraries/LibPeer/DocumentParts.h
@@ -1,25 +1,30 @@
 #pragma once
 
-#include <LibCore/Deadline.h>
-
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace Sapphire {
 
-/// Compresses a document and divides it into parts that each fit into a datagram. Returns no parts if the document is
-/// too large to be broadcast; other VMs then read it from the platform.
-std::vector<std::string> divideDocument(const std::string &document);
+/// A compressed document, divided into parts that each fit into a datagram.
+struct DividedDocument
+{
+    std::uint64_t id { 0 }; ///< Hash of the compressed document.
+    std::vector<std::string> parts; ///< None if the document is too large; other VMs then read it from the platform.
+};
+
+DividedDocument divideDocument(const std::string &document);
 
-/// Reassembles a document from its parts, which may arrive in any order or get lost.
+/// Reassembles documents from their parts, which may arrive in any order or get lost. The parts of several documents
+/// may arrive by turns, since several VMs may send different ones at the same time.
 class DocumentParts
 {
 public:
-    /// Adds part `number` (from 0) of `count` of the document with this digest. Returns the document once it is
-    /// complete. A part of another document discards the parts collected so far.
-    std::optional<std::string> add(std::uint64_t digest, std::size_t number, std::size_t count, std::string part);
+    /// Adds part `number` (from 0) of `count` of the document with this id. Returns the document once it is complete. A
+    /// part of a new document discards the oldest incomplete one if there are too many.
+    std::optional<std::string> add(std::uint64_t id, std::size_t number, std::size_t count, std::string part);
     /// Returns how many documents were given up before all of their parts had arrived, or could not be read.
     std::uint64_t lostDocuments() const
     {
@@ -27,8 +32,17 @@
     }
 
 private:
-    std::uint64_t m_digest { 0 };
-    std::vector<std::optional<std::string>> m_parts;
+    struct Document
+    {
+        std::uint64_t id { 0 };
+        std::vector<std::optional<std::string>> parts;
+    };
+
+    Document &find(std::uint64_t id, std::size_t count);
+    void discard(const Document &document);
+
+    std::deque<Document> m_documents; ///< Incomplete ones, the oldest first.
+    std::deque<std::uint64_t> m_completed; ///< Ids of the last complete ones, of which repeated parts may arrive.
     std::uint64_t m_lostDocuments { 0 };
 };
 
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -187,8 +187,9 @@
     peer::Datagram datagram;
     peer::Reading &message = *datagram.add_readings();
     encodeSourceUpdate(update, m_loop.now(), message);
-    const std::vector<std::string> parts =
-        update.document.empty() ? std::vector<std::string>() : divideDocument(update.document);
+    const DividedDocument document = update.document.empty() ? DividedDocument() : divideDocument(update.document);
+    const std::vector<std::string> &parts = document.parts;
+    message.set_document_id(document.id);
     if (parts.empty()) {
         sendUpdate(datagram);
     }
@@ -240,8 +241,10 @@
     update->origin = message.told_by().empty() ? sender.vm : VmId(message.told_by());
     if (message.parts() > 0) {
         const std::uint64_t lostBefore = m_documentParts.lostDocuments();
+        // An older release sends no id.
+        const std::uint64_t id = message.document_id() != 0 ? message.document_id() : message.digest();
         std::optional<std::string> document =
-            m_documentParts.add(update->digest, message.part(), message.parts(), message.document_part());
+            m_documentParts.add(id, message.part(), message.parts(), message.document_part());
         if (m_documentParts.lostDocuments() != lostBefore) {
             logEvent(PeerEvents::documentLost,
                      { { "vm", sender.vm }, { "digest", update->digest }, { "parts", message.parts() } });
