LibEntry, platform: Adopt another VM's rules while a call to the store is pending

Documents of other VMs were adopted on the thread that calls the store.

Updates are processed on a thread of their own, which starts with the first one. Since two threads post states to the loop, an older one that comes later is skipped by its revision, the store's version at which it was the state.

Measured: "in force in time although a call to the store is pending" failed before (not within 2.5 s) and passes; so does the new case of TestPlatform.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -53,13 +53,24 @@
     // The platform reads the state when a long poll ends, so that this is the time of the state.
     const TimePoint answeredAt = clock.now();
     return Task([this, current = state, answeredAt] {
-        const std::uint64_t digest = digestOf(current);
-        const bool isNews = this->schedule().hasList() && digest != this->schedule().digest();
-        m_onState(current);
-        finishRead({ { SourceKind::Rules, digest, answeredAt, {}, isNews ? current.document : std::string() } });
+        applyState(current);
+        const bool isNews = this->schedule().hasList() && m_appliedDigest != this->schedule().digest();
+        finishRead({ { SourceKind::Rules, m_appliedDigest, answeredAt, {}, isNews ? m_document : std::string() } });
     });
 }
 
+void OperatorStateSynchronizer::applyState(const OperatorState &state)
+{
+    // Two threads post states, so that an older one may come later.
+    if (state.revision < m_appliedRevision) {
+        return;
+    }
+    m_appliedDigest = digestOf(state);
+    m_appliedRevision = state.revision;
+    m_document = state.document;
+    m_onState(state);
+}
+
 void OperatorStateSynchronizer::applyUpdate(const SourceUpdate &update)
 {
     if (update.document.empty()) {
@@ -91,8 +102,8 @@
     }
     return Task([this, update = std::move(*pending), adopted] {
         if (adopted && adopted.value()) {
-            m_onState(*adopted.value());
-            schedule().noteReceived(digestOf(*adopted.value()));
+            applyState(*adopted.value());
+            schedule().noteReceived(m_appliedDigest);
         }
         finishUpdate(update);
     });
--- a/Libraries/LibEntry/OperatorStateSynchronizer.h
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.h
@@ -19,10 +19,16 @@
     void applyUpdate(const SourceUpdate &update) override;
     std::optional<Task> processPendingUpdate() override;
 
+    /// Passes the state on, unless a newer one was passed on before.
+    void applyState(const OperatorState &state);
+
     OperatorStateSource &m_source;
     std::mutex m_pendingMutex;
-    std::optional<SourceUpdate> m_pendingUpdate; ///< Of another VM, to be processed on the synchronizer's thread.
+    std::optional<SourceUpdate> m_pendingUpdate; ///< Of another VM, to be processed on a thread of its own.
     std::function<void(const OperatorState &)> m_onState;
+    std::uint64_t m_appliedDigest { 0 }; ///< Of the state that was passed on last.
+    SourceRevision m_appliedRevision;
+    std::string m_document; ///< That state in serialized form, for other VMs.
 };
 
 } // namespace Sapphire
--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -3,6 +3,7 @@
 #include <LibCore/Deadline.h>
 #include <LibCore/Result.h>
 #include <LibSteering/ServingRules.h>
+#include <LibSteering/SourceRevision.h>
 #include <LibSteering/TargetListEntry.h>
 #include <LibSteering/VmRecord.h>
 
@@ -21,20 +22,22 @@
     bool isConfigurationUnreadable { false };
     std::set<AvailabilityZoneId> evacuatedZones;
     std::string document; ///< The state in serialized form, for OperatorStateSource::adopt() of other VMs.
+    SourceRevision revision {}; ///< The platform's, at which this was the state.
     VmId origin {}; ///< The VM that sent the state; empty if it was read from the platform.
 };
 
-/// The source of the operators' rules. To be used by one thread at a time; every call may block until its deadline.
+/// The source of the operators' rules.
 class OperatorStateSource
 {
 public:
     virtual ~OperatorStateSource() = default;
 
     /// Returns the state as soon as it differs from the one returned last, or unchanged after the longest wait. The
-    /// first call returns at once. Fails with Unavailable, Timeout and DataLoss.
+    /// first call returns at once. To be called by one thread at a time; may block until the deadline. Fails with
+    /// Unavailable, Timeout and DataLoss.
     [[nodiscard]] virtual Result<OperatorState> next(Milliseconds longestWait, Deadline deadline) = 0;
     /// Takes over the state in another VM's document. Returns nothing if the state of this source is at least as new.
-    /// Fails with InvalidArgument.
+    /// May be called while another thread is in next(). Fails with InvalidArgument.
     [[nodiscard]] virtual Result<std::optional<OperatorState>> adopt(const std::string &document) = 0;
 };
 
--- a/Libraries/LibEntry/SharedSourceSynchronizer.cpp
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.cpp
@@ -50,6 +50,28 @@
 {
     m_timer.stop();
     m_poller.reset();
+    m_updatePoller.reset();
+}
+
+void SharedSourceSynchronizer::wake()
+{
+    if (!m_updatePoller) {
+        // Its steps don't fail, so that no event is logged for them.
+        const SourcePollerSettings settings { EntryEvents::rulesSourceLost, EntryEvents::rulesSourceBack };
+        m_updatePoller = std::make_unique<SourcePoller>(settings, m_context.loop.clock(), [this] {
+            postPendingUpdate();
+            return Result<void>();
+        });
+    }
+    m_updatePoller->runSoon();
+}
+
+void SharedSourceSynchronizer::postPendingUpdate()
+{
+    std::optional<Task> task = processPendingUpdate();
+    if (task && !m_context.loop.post(std::move(*task))) {
+        logEvent(EntryEvents::loopOverloaded, {});
+    }
 }
 
 void SharedSourceSynchronizer::check()
@@ -97,13 +119,6 @@
 
 Result<void> SharedSourceSynchronizer::step()
 {
-    if (std::optional<Task> task = processPendingUpdate()) {
-        if (!m_context.loop.post(std::move(*task))) {
-            logEvent(EntryEvents::loopOverloaded, {});
-        }
-    }
-    // A read that the schedule has begun is made even if another VM's update arrived meanwhile, since no other read
-    // begins before it has ended.
     if (m_isReadDue.exchange(false)) {
         m_lastRead = capture([this] {
             return readList();
--- a/Libraries/LibEntry/SharedSourceSynchronizer.h
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.h
@@ -21,7 +21,7 @@
 };
 
 /// Keeps a local copy of a source of the platform in step: reads the source on a thread of its own when a read is due,
-/// broadcasts what it read, and applies the updates of other VMs in between. All functions but read() and
+/// broadcasts what it read, and applies the updates of other VMs. All functions but read() and
 /// processPendingUpdate() must be called on the loop's thread.
 class SharedSourceSynchronizer
 {
@@ -64,8 +64,8 @@
     [[nodiscard]] virtual Result<Task> read(bool isReader) = 0;
     /// Applies another VM's update to the local copy as far as possible, and calls finishUpdate() at once or later.
     virtual void applyUpdate(const SourceUpdate &update) = 0;
-    /// Processes an update that applyUpdate() has stored. Called on the synchronizer's thread. Returns a task for the
-    /// loop's thread, or nothing if there is no update.
+    /// Processes an update that applyUpdate() has stored. Called on a thread of its own, since calls to the platform
+    /// may block the other one for seconds. Returns a task for the loop's thread, or nothing if there is no update.
     virtual std::optional<Task> processPendingUpdate()
     {
         return std::nullopt;
@@ -86,11 +86,8 @@
     }
     /// To be called when an update of another VM has been applied as far as possible.
     void finishUpdate(const SourceUpdate &update);
-    /// Runs a step on the synchronizer's thread at once.
-    void wake()
-    {
-        m_poller->runSoon();
-    }
+    /// Calls processPendingUpdate() soon.
+    void wake();
     /// To be called by the task of a read, with the updates for other VMs: several in order, if there is too much for
     /// one.
     void finishRead(const std::vector<SourceUpdate> &updates);
@@ -118,6 +115,7 @@
     void broadcast(const SourceUpdate &update);
     /// Logs once that this VM has been behind for long.
     void reportBehind();
+    void postPendingUpdate();
     Result<void> step();
     Result<void> readList();
 
@@ -134,6 +132,7 @@
     std::atomic<bool> m_isReadEndUnreported { false }; ///< A read has ended, but the loop took no task for it.
     Outcome<void> m_lastRead; ///< Used by the synchronizer's thread only.
     std::unique_ptr<SourcePoller> m_poller;
+    std::unique_ptr<SourcePoller> m_updatePoller; ///< Processes updates; null before the first one.
 };
 
 } // namespace Sapphire
--- a/Tests/LibEntry/RulesRegion.h
+++ b/Tests/LibEntry/RulesRegion.h
@@ -105,6 +105,7 @@
         OperatorState state;
         state.evacuatedZones = { AvailabilityZoneId(std::to_string(m_version)) };
         state.document = std::to_string(m_version);
+        state.revision = SourceRevision(m_version);
         return state;
     }
 
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -152,6 +152,33 @@
     CHECK(versionOf(follower) == 2);
 }
 
+TEST_CASE("Rules are adopted from another VM while a call to the store is pending")
+{
+    // Guards against new rules that wait for seconds until a call to the store has ended.
+    StoreStandIn store;
+    const std::unique_ptr<StoreClient> client = clientOf(store);
+    const std::unique_ptr<StoreClient> otherClient = clientOf(store);
+    StoreOperatorState waiting(*client);
+    StoreOperatorState other(*otherClient);
+    store.set("op", "config", rulesText(1));
+    CHECK(versionOf(waiting) == 1);
+    // Newer than anything that the store will tell during the call.
+    const std::string newer = "1000000\n6\nconfig" + std::to_string(rulesText(5).size()) + "\n" + rulesText(5);
+    const TimePoint begin = BootClock().now();
+    std::thread call([&] {
+        CHECK(versionOf(waiting, Milliseconds(1'000)) == 5);
+    });
+    std::this_thread::sleep_for(Milliseconds(100));
+    const Outcome<std::optional<OperatorState>> adopted = capture([&] {
+        return waiting.adopt(newer);
+    });
+    CHECK(BootClock().now() - begin < Milliseconds(800));
+    REQUIRE(adopted);
+    REQUIRE(adopted.value());
+    CHECK(adopted.value()->rules->version().value() == 5);
+    call.join();
+}
+
 TEST_CASE("A truncated or malformed document changes nothing")
 {
     // Guards against rules that are lost because another VM sent a malformed datagram.
