LibEntry: Return the newer state when another VM's document is adopted

If the loop took no task after a document had been adopted, the source had the new rules and the gateway never got them: the same document was refused as not newer, and only a read of the store passed them on.

adopt() returns the newer one of its own and the document's state, so that a document that comes again is passed on.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -94,15 +94,15 @@
     if (!pending) {
         return std::nullopt;
     }
-    Outcome<std::optional<OperatorState>> adopted = capture([&] {
+    Outcome<OperatorState> adopted = capture([&] {
         return m_source.adopt(pending->document);
     });
-    if (adopted && adopted.value()) {
-        adopted.value()->origin = pending->origin;
+    if (adopted) {
+        adopted.value().origin = pending->origin;
     }
     return Task([this, update = std::move(*pending), adopted] {
-        if (adopted && adopted.value()) {
-            applyState(*adopted.value());
+        if (adopted) {
+            applyState(adopted.value());
             schedule().noteReceived(m_appliedDigest);
         }
         finishUpdate(update);
--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -36,9 +36,9 @@
     /// first call returns at once. To be called by one thread at a time; may block until the deadline. Fails with
     /// Unavailable, Timeout and DataLoss.
     [[nodiscard]] virtual Result<OperatorState> next(Milliseconds longestWait, Deadline deadline) = 0;
-    /// Takes over the state in another VM's document. Returns nothing if the state of this source is at least as new.
-    /// May be called while another thread is in next(). Fails with InvalidArgument.
-    [[nodiscard]] virtual Result<std::optional<OperatorState>> adopt(const std::string &document) = 0;
+    /// Takes over the state in another VM's document, unless the state of this source is at least as new, and returns
+    /// the newer one of the two. May be called while another thread is in next(). Fails with InvalidArgument.
+    [[nodiscard]] virtual Result<OperatorState> adopt(const std::string &document) = 0;
 };
 
 /// The platform's target list. To be used by one thread at a time; every call may block until its deadline.
--- a/Tests/LibEntry/RulesRegion.h
+++ b/Tests/LibEntry/RulesRegion.h
@@ -74,19 +74,15 @@
         m_version = std::max(m_version, version);
         return state();
     }
-    Result<std::optional<OperatorState>> adopt(const std::string &document) override
+    Result<OperatorState> adopt(const std::string &document) override
     {
         if (fillsLoopOnce.exchange(false)) {
             while (m_loop.post([] {})) {
             }
         }
         const std::lock_guard guard(m_mutex);
-        const std::uint64_t version = std::stoull(document);
-        if (version <= m_version) {
-            return std::optional<OperatorState>();
-        }
-        m_version = version;
-        return std::optional(state());
+        m_version = std::max<std::uint64_t>(m_version, std::stoull(document));
+        return state();
     }
 
     std::atomic<Mode> mode { Mode::Answering };
--- a/Tests/LibEntry/TestOperatorStateSynchronizer.cpp
+++ b/Tests/LibEntry/TestOperatorStateSynchronizer.cpp
@@ -18,9 +18,9 @@
         ++reads;
         return fail(ErrorCode::Unavailable, "the platform refuses this VM");
     }
-    Result<std::optional<OperatorState>> adopt(const std::string &) override
+    Result<OperatorState> adopt(const std::string &) override
     {
-        return std::optional(OperatorState {});
+        return OperatorState {};
     }
 
     std::atomic<int> reads { 0 };
