LibEntry: Let a VM that stands in for the reader wait for changes, too

A VM that hears no updates takes over and reads as often as a reader, whose interval between two calls is zero because each call is a long poll.

A VM that has taken over waits for changes like the reader does; its first call, by which it learns what it missed, doesn't. 100 ms at least lie between the starts of two calls of a reader, since a feed whose history is dropped again and again answers at once.

Measured: "calls the store about once a second" failed before (41,574 calls in 3 s of a source that answers at once) and passes.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -11,6 +11,8 @@
 // A reader's call is a long poll, so that changes are known at once; a call that ends without a change confirms the
 // state.
 constexpr Milliseconds readerWait { 1'200 };
+// Least time between the starts of two calls of a reader, whose long polls may return at once.
+constexpr Milliseconds shortestReaderInterval { 100 };
 // The time that a call may take beyond its wait.
 constexpr Milliseconds callTime { 1'500 };
 
@@ -31,7 +33,7 @@
 ReadScheduleSettings scheduleSettings()
 {
     ReadScheduleSettings settings;
-    settings.readerInterval = Milliseconds(0);
+    settings.readerInterval = shortestReaderInterval;
     return settings;
 }
 
--- a/Libraries/LibEntry/SharedSourceSynchronizer.cpp
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.cpp
@@ -85,7 +85,7 @@
     // A VM without a copy doesn't wait for another region, since it can't know which VMs are alive there.
     const bool isForAll = isReadForAll() && m_schedule.hasList();
     m_rank = knowsRoster ? m_context.roster.readerRank(sourceName(), isForAll, now) : 0;
-    m_isReader = m_rank == 0;
+    m_isReader = m_rank == 0 || m_schedule.hasTakenOver();
     if (knowsRoster) {
         requestSync(m_rank);
     }
--- a/Libraries/LibSteering/ReadSchedule.h
+++ b/Libraries/LibSteering/ReadSchedule.h
@@ -117,6 +117,11 @@
     {
         return m_hasFailed;
     }
+    /// Returns whether this VM reads in place of the reader.
+    bool hasTakenOver() const
+    {
+        return m_hasTakenOver;
+    }
 
 private:
     bool isIncompleteReadDue(TimePoint now) const;
