LibSteering: Order lists by the platform's revision instead of the time of a report

What the report or an answer waited in a socket isn't in that age: a VM that was frozen told an old state as read now, and a VM that knew that it lacked a newer one took its own for current again and stopped asking.

The time decides only where no revision is known (targets, older releases). A read that began before the VM heard of a newer list doesn't make it current.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -57,7 +57,10 @@
     return Task([this, current = state, answeredAt] {
         applyState(current);
         const bool isNews = this->schedule().hasList() && m_appliedDigest != this->schedule().digest();
-        finishRead({ { SourceKind::Rules, m_appliedDigest, answeredAt, {}, isNews ? m_document : std::string() } });
+        SourceUpdate update { SourceKind::Rules, m_appliedDigest, answeredAt, {}, {} };
+        update.document = isNews ? m_document : std::string();
+        update.revision = m_appliedRevision;
+        finishRead({ update });
     });
 }
 
@@ -81,6 +84,9 @@
     }
     {
         const std::lock_guard guard(m_pendingMutex);
+        if (m_pendingUpdate && m_pendingUpdate->revision > update.revision) {
+            return;
+        }
         m_pendingUpdate = update;
     }
     wake();
@@ -105,7 +111,7 @@
     return Task([this, update = std::move(*pending), adopted] {
         if (adopted) {
             applyState(adopted.value());
-            schedule().noteReceived(m_appliedDigest);
+            schedule().noteReceived(m_appliedDigest, m_appliedRevision);
         }
         finishUpdate(update);
     });
--- a/Libraries/LibEntry/SharedSourceSynchronizer.cpp
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.cpp
@@ -156,7 +156,7 @@
     m_unreadableUntil = {};
     const SourceUpdate &last = updates.back();
     const bool isNews = last.digest != m_schedule.digest();
-    m_schedule.noteRead(last.digest, last.readAt);
+    m_schedule.noteRead(last.digest, last.readAt, last.revision);
     if (isNews || !m_isReader) {
         logEvent(EntryEvents::listRead,
                  { { "list", sourceName() },
@@ -221,7 +221,7 @@
     if (isNews) {
         applyUpdate(update);
     } else {
-        m_schedule.noteReportedDigest(update.digest, update.readAt, m_context.loop.now());
+        m_schedule.noteReportedDigest(update.digest, update.readAt, m_context.loop.now(), update.revision);
     }
 }
 
@@ -235,7 +235,7 @@
                { "removed", update.change.removed.size() },
                { "documentBytes", update.document.size() },
                { "ageMilliseconds", millisecondsBetween(update.readAt, m_context.loop.now()) } });
-    m_schedule.noteReportedDigest(update.digest, update.readAt, m_context.loop.now());
+    m_schedule.noteReportedDigest(update.digest, update.readAt, m_context.loop.now(), update.revision);
 }
 
 } // namespace Sapphire
--- a/Libraries/LibPeer/SourceUpdate.h
+++ b/Libraries/LibPeer/SourceUpdate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibSteering/SourceRevision.h>
 #include <LibSteering/TargetList.h>
 
 #include <cstdint>
@@ -23,6 +24,7 @@
     std::string document {}; ///< Of rules, if they changed: the document that was read.
     VmId origin {}; ///< The VM that sent it first; empty for an update of this VM's own.
     bool isRelayed { false }; ///< `origin` got it from the region that reads for all.
+    SourceRevision revision {}; ///< The platform's, when it was read.
 };
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/ReadSchedule.cpp
+++ b/Libraries/LibSteering/ReadSchedule.cpp
@@ -61,11 +61,16 @@
     return m_isIncomplete && (digest == m_wantedDigest || isRecent);
 }
 
-void ReadSchedule::noteRead(std::uint64_t digest, TimePoint begunAt)
+void ReadSchedule::noteRead(std::uint64_t digest, TimePoint readAt, SourceRevision revision)
 {
     m_isReading = false;
     m_hasFailed = false;
-    noteAdopted(digest, begunAt);
+    // An answer that this VM took late may be older than a list of which it has heard since the read began.
+    const bool isOutdated = m_isIncomplete && revision > SourceRevision() && m_wantedHeardAt > m_begunAt
+        && isWantedNewer(digest, readAt, revision);
+    noteAdopted(digest, readAt);
+    m_revision = std::max(m_revision, revision);
+    m_isIncomplete = isOutdated;
 }
 
 void ReadSchedule::noteAdopted(std::uint64_t digest, TimePoint confirmedAt)
@@ -76,25 +81,60 @@
     m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
 }
 
-void ReadSchedule::noteReportedDigest(std::uint64_t digest, TimePoint readAt, TimePoint now)
+void ReadSchedule::noteReceived(std::uint64_t digest, SourceRevision revision)
+{
+    m_digest = digest;
+    m_hasList = true;
+    m_revision = std::max(m_revision, revision);
+}
+
+bool ReadSchedule::isWantedNewer(std::uint64_t digest, TimePoint readAt, SourceRevision revision) const
+{
+    if (revision > SourceRevision() && m_wantedRevision > SourceRevision()) {
+        return digest != m_wantedDigest && revision < m_wantedRevision;
+    }
+    return readAt + timestampTolerance < m_wantedAt;
+}
+
+void ReadSchedule::noteReportedDigest(std::uint64_t digest, TimePoint readAt, TimePoint now, SourceRevision revision)
 {
     if (digest == m_digest) {
         m_confirmedAt = std::max(m_confirmedAt, readAt);
+        m_revision = std::max(m_revision, revision);
         // A report of an earlier read, which arrives late, says nothing about the newer list that this VM lacks.
-        m_isIncomplete = m_isIncomplete && readAt + timestampTolerance < m_wantedAt;
-    } else if (readAt > m_confirmedAt) {
-        if (!m_isIncomplete) {
-            m_peerSyncDeadline = Deadline::after(now, m_settings.peerSyncTimeout);
-        }
-        if (!m_isIncomplete || m_incompleteSince == TimePoint {}) {
-            m_incompleteSince = now;
-        }
-        m_isIncomplete = true;
-        if (readAt >= m_wantedAt) {
-            m_wantedAt = readAt;
-            m_wantedDigest = digest;
-        }
+        m_isIncomplete = m_isIncomplete && isWantedNewer(digest, readAt, revision);
+        return;
+    }
+    const bool areRevisionsKnown = revision > SourceRevision() && m_revision > SourceRevision();
+    if (areRevisionsKnown ? revision > m_revision : readAt > m_confirmedAt) {
+        noteMissing(digest, readAt, revision, now);
+    }
+}
+
+void ReadSchedule::noteListOfOther(std::uint64_t digest, SourceRevision revision, TimePoint now)
+{
+    if (digest != m_digest && revision > m_revision && m_revision > SourceRevision()) {
+        noteMissing(digest, now, revision, now);
+    }
+}
+
+void ReadSchedule::noteMissing(std::uint64_t digest, TimePoint readAt, SourceRevision revision, TimePoint now)
+{
+    if (!m_isIncomplete) {
+        m_peerSyncDeadline = Deadline::after(now, m_settings.peerSyncTimeout);
+    }
+    if (!m_isIncomplete || m_incompleteSince == TimePoint {}) {
+        m_incompleteSince = now;
+    }
+    const bool areRevisionsKnown = revision > SourceRevision() && m_wantedRevision > SourceRevision();
+    const bool isNewest = areRevisionsKnown ? revision >= m_wantedRevision : readAt >= m_wantedAt;
+    if (!m_isIncomplete || isNewest) {
+        m_wantedAt = readAt;
+        m_wantedDigest = digest;
+        m_wantedRevision = revision;
+        m_wantedHeardAt = now;
     }
+    m_isIncomplete = true;
 }
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/ReadSchedule.h
+++ b/Libraries/LibSteering/ReadSchedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Deadline.h>
+#include <LibSteering/SourceRevision.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -51,8 +52,8 @@
     void noteBegun(TimePoint now, std::size_t rank);
     /// The read that was started has failed.
     void noteFailed();
-    /// The read that began at the given time has succeeded, and the list had this digest.
-    void noteRead(std::uint64_t digest, TimePoint begunAt);
+    /// The read that was started has succeeded. The list had this digest, and was current at the given time.
+    void noteRead(std::uint64_t digest, TimePoint readAt, SourceRevision revision = {});
     /// Replaces two of the settings, since they depend on the size of the list and of the region.
     void setTimeouts(Milliseconds peerSyncTimeout, Milliseconds confirmationTimeout)
     {
@@ -60,7 +61,9 @@
         m_settings.confirmationTimeout = confirmationTimeout;
     }
     /// A reader has reported, as this VM hears now, that the list had this digest when it was read.
-    void noteReportedDigest(std::uint64_t digest, TimePoint readAt, TimePoint now);
+    void noteReportedDigest(std::uint64_t digest, TimePoint readAt, TimePoint now, SourceRevision revision = {});
+    /// Another VM has a list with this digest. Unlike a reader's report it doesn't confirm a list.
+    void noteListOfOther(std::uint64_t digest, SourceRevision revision, TimePoint now);
     /// A VM that comes before this one in the order of readers has read the list, so this VM stops standing in for it.
     void notePreferredReader()
     {
@@ -72,11 +75,7 @@
         m_digest = digest;
     }
     /// This VM has a whole list with this digest from another VM's message. Whether it is current follows from reports.
-    void noteReceived(std::uint64_t digest)
-    {
-        m_digest = digest;
-        m_hasList = true;
-    }
+    void noteReceived(std::uint64_t digest, SourceRevision revision = {});
     /// This VM has adopted a whole list, which was confirmed at the given time.
     void noteAdopted(std::uint64_t digest, TimePoint confirmedAt);
 
@@ -84,6 +83,11 @@
     {
         return m_digest;
     }
+    /// Returns the newest revision at which the list is known to have been the platform's.
+    SourceRevision revision() const
+    {
+        return m_revision;
+    }
     /// Returns when this VM's list was last known to be current.
     TimePoint confirmedAt() const
     {
@@ -124,6 +128,9 @@
     }
 
 private:
+    void noteMissing(std::uint64_t digest, TimePoint readAt, SourceRevision revision, TimePoint now);
+    /// Returns whether the newest list that another VM has read is newer than one that was read then.
+    bool isWantedNewer(std::uint64_t digest, TimePoint readAt, SourceRevision revision) const;
     bool isIncompleteReadDue(TimePoint now) const;
     bool isUnconfirmedReadDue(TimePoint now, std::size_t rank) const;
 
@@ -131,8 +138,11 @@
     std::uint64_t m_digest { 0 };
     TimePoint m_begunAt {};
     TimePoint m_confirmedAt {};
+    SourceRevision m_revision; ///< The newest one at which the list is known to have been the platform's.
     std::uint64_t m_wantedDigest { 0 }; ///< Of the newest list that another VM has read.
     TimePoint m_wantedAt {}; ///< When the other VM read it.
+    SourceRevision m_wantedRevision;
+    TimePoint m_wantedHeardAt {}; ///< When this VM heard of it.
     TimePoint m_incompleteSince {}; ///< When this VM heard of the first list that it lacks.
     Deadline m_peerSyncDeadline {}; ///< Until then an incomplete VM waits for other VMs.
     bool m_isReading { false };
--- a/Tests/LibSteering/TestReadSchedule.cpp
+++ b/Tests/LibSteering/TestReadSchedule.cpp
@@ -58,6 +58,56 @@
     CHECK(!schedule.isIncomplete());
 }
 
+TEST_CASE("ReadSchedule orders lists by their revision, whatever time a report names")
+{
+    // Guards against a VM that takes its old rules for current since a VM that was frozen reports them as read now.
+    ReadSchedule schedule({});
+    schedule.noteBegun(start, later);
+    schedule.noteRead(digest, start, SourceRevision(10));
+    schedule.noteReportedDigest(otherDigest, start + Milliseconds(500), start + Milliseconds(500), SourceRevision(9));
+    CHECK(!schedule.isIncomplete());
+    schedule.noteReportedDigest(otherDigest, start - Milliseconds(1), start + Milliseconds(600), SourceRevision(12));
+    CHECK(schedule.isIncomplete());
+    schedule.noteReportedDigest(digest, start + Milliseconds(900), start + Milliseconds(900), SourceRevision(11));
+    CHECK(schedule.isIncomplete());
+    // The state may have become the earlier one again.
+    schedule.noteReportedDigest(digest, start + Milliseconds(900), start + Milliseconds(900), SourceRevision(13));
+    CHECK(!schedule.isIncomplete());
+}
+
+TEST_CASE("ReadSchedule doesn't take an answer for current that is older than a report heard during the read")
+{
+    // Guards against an old state that a VM which was frozen takes from its socket and counts as read now.
+    ReadSchedule schedule({});
+    schedule.noteBegun(start, later);
+    schedule.noteRead(digest, start, SourceRevision(10));
+    schedule.noteBegun(start + Milliseconds(1'000), later);
+    schedule.noteReportedDigest(otherDigest, start + Milliseconds(1'100), start + Milliseconds(1'100),
+                                SourceRevision(12));
+    schedule.noteRead(digest, start + Milliseconds(3'000), SourceRevision(11));
+    CHECK(schedule.isIncomplete());
+    // A read that began after the report can't be older.
+    schedule.noteBegun(start + Milliseconds(3'100), later);
+    schedule.noteRead(digest, start + Milliseconds(3'200), SourceRevision(11));
+    CHECK(!schedule.isIncomplete());
+}
+
+TEST_CASE("ReadSchedule learns from another VM's newer list that its own is old, and confirms nothing by it")
+{
+    // Guards against VMs that keep each other's old rules for current during an outage of the platform.
+    ReadSchedule schedule({});
+    schedule.noteBegun(start, later);
+    schedule.noteRead(digest, start, SourceRevision(10));
+    const TimePoint now = start + Milliseconds(1'000);
+    schedule.noteListOfOther(digest, SourceRevision(12), now);
+    schedule.noteListOfOther(otherDigest, SourceRevision(9), now);
+    CHECK(!schedule.isIncomplete());
+    CHECK(schedule.confirmedAt() == start);
+    schedule.noteListOfOther(otherDigest, SourceRevision(12), now);
+    CHECK(schedule.isIncomplete());
+    CHECK(schedule.behindSince(now + Milliseconds(50)) == now);
+}
+
 TEST_CASE("ReadSchedule reads when the reader becomes silent")
 {
     // Guards against a VM that never learns of a removed target because the reader died.
