LibEntry, LibPeer: Ask other VMs for rules that were lost

The digest travelled with the document only, so that a VM that lost the document didn't know that it lacked anything. Then nothing but a read of the store helped: after 1.4 to 1.7 s, and if the store refused it after 3.4 s more.

- Each update is announced to all VMs apart from its document.
- Heartbeats tell which rules a VM has and at which revision.
They confirm nothing, so that VMs can't keep each other's old rules for current.
- A VM that knows of newer rules waits 150 ms for the document, and then asks a VM of its zone, the one that told of them, and one of its region in turn, also while the store refuses it.
It reads the store after 600 ms.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -159,6 +159,18 @@
     m_peers->onTargetSyncReply([this](const TargetSyncReply &reply) {
         m_targetListSynchronizer->takeSyncReply(reply);
     });
+    m_peers->onRulesRequest([this](const VmId &asker, std::uint64_t digest) {
+        m_operatorStateSynchronizer->answerRulesRequest(asker, digest);
+    });
+    m_peers->onRulesReply([this](const SourceUpdate &reply) {
+        m_operatorStateSynchronizer->takeRulesReply(reply);
+    });
+    m_peers->onRulesStatus([this](const VmId &vm, const RulesStatus &status) {
+        m_operatorStateSynchronizer->takeStatus(vm, status);
+    });
+    m_peers->setRulesStatusProvider([this] {
+        return m_operatorStateSynchronizer->status();
+    });
     m_peers->onUpdate([this](const SourceUpdate &update) {
         m_operatorStateSynchronizer->takeUpdate(update);
         m_targetListSynchronizer->takeUpdate(update);
--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -1,6 +1,8 @@
 #include <LibEntry/OperatorStateSynchronizer.h>
 
+#include <LibCore/Duration.h>
 #include <LibCore/Hash.h>
+#include <LibEntry/EntryEvents.h>
 
 #include <utility>
 
@@ -15,6 +17,10 @@
 constexpr Milliseconds shortestReaderInterval { 100 };
 // The time that a call may take beyond its wait.
 constexpr Milliseconds callTime { 1'500 };
+// A broadcast document has this long to arrive before a VM asks for it.
+constexpr Milliseconds broadcastTime { 150 };
+// Other VMs have this long to send what a VM lacks before it reads the platform.
+constexpr Milliseconds peerSyncTime { 600 };
 
 std::uint64_t digestOf(const OperatorState &state)
 {
@@ -34,6 +40,7 @@
 {
     ReadScheduleSettings settings;
     settings.readerInterval = shortestReaderInterval;
+    settings.peerSyncTimeout = peerSyncTime;
     return settings;
 }
 
@@ -56,10 +63,10 @@
     const TimePoint answeredAt = clock.now();
     return Task([this, current = state, answeredAt] {
         applyState(current);
-        const bool isNews = this->schedule().hasList() && m_appliedDigest != this->schedule().digest();
-        SourceUpdate update { SourceKind::Rules, m_appliedDigest, answeredAt, {}, {} };
+        const bool isNews = this->schedule().hasList() && m_applied.digest != this->schedule().digest();
+        SourceUpdate update { SourceKind::Rules, m_applied.digest, answeredAt, {}, {} };
         update.document = isNews ? m_document : std::string();
-        update.revision = m_appliedRevision;
+        update.revision = m_applied.revision;
         finishRead({ update });
     });
 }
@@ -67,11 +74,10 @@
 void OperatorStateSynchronizer::applyState(const OperatorState &state)
 {
     // Two threads post states, so that an older one may come later.
-    if (state.revision < m_appliedRevision) {
+    if (state.revision < m_applied.revision) {
         return;
     }
-    m_appliedDigest = digestOf(state);
-    m_appliedRevision = state.revision;
+    m_applied = { digestOf(state), state.revision };
     m_document = state.document;
     m_onState(state);
 }
@@ -79,9 +85,15 @@
 void OperatorStateSynchronizer::applyUpdate(const SourceUpdate &update)
 {
     if (update.document.empty()) {
+        m_origin = update.origin;
         finishUpdate(update);
         return;
     }
+    storePending(update);
+}
+
+void OperatorStateSynchronizer::storePending(const SourceUpdate &update)
+{
     {
         const std::lock_guard guard(m_pendingMutex);
         if (m_pendingUpdate && m_pendingUpdate->revision > update.revision) {
@@ -111,10 +123,101 @@
     return Task([this, update = std::move(*pending), adopted] {
         if (adopted) {
             applyState(adopted.value());
-            schedule().noteReceived(m_appliedDigest, m_appliedRevision);
+            schedule().noteReceived(m_applied.digest, m_applied.revision);
         }
         finishUpdate(update);
     });
 }
 
+RulesStatus OperatorStateSynchronizer::status() const
+{
+    return { schedule().digest(), schedule().revision() };
+}
+
+void OperatorStateSynchronizer::takeStatus(const VmId &vm, const RulesStatus &status)
+{
+    const std::uint64_t wantedBefore = schedule().wantedDigest();
+    schedule().noteListOfOther(status.digest, status.revision, loop().now());
+    if (schedule().wantedDigest() != wantedBefore) {
+        m_origin = vm;
+    }
+}
+
+void OperatorStateSynchronizer::requestSync(std::size_t)
+{
+    const TimePoint now = loop().now();
+    // At its start a VM reads the platform, and asks others only if it can't.
+    const bool isNeeded = schedule().isIncomplete() && (schedule().hasList() || schedule().hasFailed());
+    if (!isNeeded) {
+        m_syncRequests.reset();
+        m_nextSyncPeer = SyncPeer::OfOwnZone;
+        return;
+    }
+    const bool mayArriveYet = schedule().hasList() && behindFor() < broadcastTime;
+    if (mayArriveYet || m_syncRequests.next(now) == SyncRequestPolicy::Choice::Nobody) {
+        return;
+    }
+    const VmId syncPeer = nextSyncPeer();
+    if (!syncPeer.isEmpty() && syncPeer != context().own) {
+        context().peers.requestRules(syncPeer, schedule().hasList() ? schedule().digest() : 0);
+    }
+}
+
+VmId OperatorStateSynchronizer::nextSyncPeer()
+{
+    switch (m_nextSyncPeer) {
+    case SyncPeer::OfOwnZone: {
+        m_nextSyncPeer = SyncPeer::Origin;
+        std::vector<VmId> vms;
+        for (const VmRecord &peer : context().roster.peersInZone()) {
+            if (context().roster.isServing(peer.vm, loop().now())) {
+                vms.push_back(peer.vm);
+            }
+        }
+        return randomVm(vms);
+    }
+    case SyncPeer::Origin:
+        m_nextSyncPeer = SyncPeer::OfOwnRegion;
+        return m_origin;
+    case SyncPeer::OfOwnRegion:
+        m_nextSyncPeer = SyncPeer::OfOwnZone;
+        return randomVm(context().roster.readersOf(sourceName(), loop().now()));
+    }
+    return {};
+}
+
+VmId OperatorStateSynchronizer::randomVm(const std::vector<VmId> &vms)
+{
+    return vms.empty() ? VmId() : vms[m_random.below(vms.size())];
+}
+
+void OperatorStateSynchronizer::answerRulesRequest(const VmId &asker, std::uint64_t digest)
+{
+    if (!schedule().hasList()) {
+        return;
+    }
+    SourceUpdate reply { SourceKind::Rules, schedule().digest(), schedule().confirmedAt(), {}, {} };
+    reply.revision = schedule().revision();
+    if (reply.digest != digest) {
+        reply.document = m_document;
+    }
+    context().peers.sendRules(asker, reply);
+}
+
+void OperatorStateSynchronizer::takeRulesReply(const SourceUpdate &reply)
+{
+    const bool isNeeded = schedule().isIncomplete() && reply.digest != schedule().digest();
+    if (!isNeeded || reply.document.empty()) {
+        m_syncRequests.noteEmptyAnswer(loop().now());
+        return;
+    }
+    logEvent(EntryEvents::listTakenOver,
+             { { "list", sourceName() },
+               { "digest", reply.digest },
+               { "first", !schedule().hasList() },
+               { "ageMilliseconds", millisecondsBetween(reply.readAt, loop().now()) } });
+    m_syncRequests.noteProgress(loop().now());
+    storePending(reply);
+}
+
 } // namespace Sapphire
--- a/Libraries/LibEntry/OperatorStateSynchronizer.h
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.h
@@ -1,24 +1,47 @@
 #pragma once
 
+#include <LibCore/RandomSource.h>
 #include <LibEntry/PlatformSources.h>
 #include <LibEntry/SharedSourceSynchronizer.h>
+#include <LibSteering/SyncRequestPolicy.h>
 
 #include <mutex>
 
 namespace Sapphire {
 
-/// Keeps a local copy of the operators' rules and evacuated zones in step with the platform.
+/// Keeps a local copy of the operators' rules and evacuated zones in step with the platform. A VM that knows of newer
+/// rules than its own asks other VMs for them before it reads the platform, and while the platform refuses it.
 class OperatorStateSynchronizer final : public SharedSourceSynchronizer
 {
 public:
     OperatorStateSynchronizer(const SynchronizerContext &context, OperatorStateSource &source,
                               std::function<void(const OperatorState &)> onState);
 
+    /// Which rules this VM has, for its heartbeats.
+    RulesStatus status() const;
+    /// Takes another VM's status.
+    void takeStatus(const VmId &vm, const RulesStatus &status);
+    /// Answers the rules request of a VM that has rules with the given digest.
+    void answerRulesRequest(const VmId &asker, std::uint64_t digest);
+    /// Applies another VM's reply to a rules request.
+    void takeRulesReply(const SourceUpdate &reply);
+
 private:
+    /// Other VMs that may have what this one lacks, in the order in which they are asked.
+    enum class SyncPeer {
+        OfOwnZone, ///< Traffic within a zone is not billed.
+        Origin, ///< The VM that told of the newer rules.
+        OfOwnRegion,
+    };
+
     Result<Task> read(bool isReader) override;
     void applyUpdate(const SourceUpdate &update) override;
     std::optional<Task> processPendingUpdate() override;
-
+    void requestSync(std::size_t rank) override;
+    VmId nextSyncPeer();
+    VmId randomVm(const std::vector<VmId> &vms);
+    /// Keeps an update for processPendingUpdate(), unless a newer one waits already.
+    void storePending(const SourceUpdate &update);
     /// Passes the state on, unless a newer one was passed on before.
     void applyState(const OperatorState &state);
 
@@ -26,9 +49,12 @@
     std::mutex m_pendingMutex;
     std::optional<SourceUpdate> m_pendingUpdate; ///< Of another VM, to be processed on a thread of its own.
     std::function<void(const OperatorState &)> m_onState;
-    std::uint64_t m_appliedDigest { 0 }; ///< Of the state that was passed on last.
-    SourceRevision m_appliedRevision;
+    RulesStatus m_applied; ///< Of the state that was passed on last.
     std::string m_document; ///< That state in serialized form, for other VMs.
+    RandomSource m_random { RandomSource::seededBySystem() };
+    SyncRequestPolicy m_syncRequests;
+    SyncPeer m_nextSyncPeer { SyncPeer::OfOwnZone };
+    VmId m_origin; ///< The VM that told of rules that this one lacked, most recently.
 };
 
 } // namespace Sapphire
--- a/Libraries/LibEntry/SharedSourceSynchronizer.cpp
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.cpp
@@ -175,7 +175,11 @@
 
 void SharedSourceSynchronizer::broadcast(const SourceUpdate &update)
 {
+    // All VMs hear of the update at once, so that one whose copy of the document is lost can ask for it.
     m_context.peers.broadcastUpdate(update);
+    if (!update.document.empty()) {
+        m_context.peers.broadcastDocument(update);
+    }
     if (isReadForAll() && m_context.roster.isNearestToPlatform()) {
         m_context.peers.sendToRelays(update, sourceName());
     }
--- a/Libraries/LibEntry/SharedSourceSynchronizer.h
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.h
@@ -96,6 +96,10 @@
     {
         return m_schedule;
     }
+    const ReadSchedule &schedule() const
+    {
+        return m_schedule;
+    }
     /// Returns the name of the source in the order of readers and in log events.
     std::string_view sourceName() const;
     const SynchronizerContext &context() const
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -125,6 +125,9 @@
     peer::Datagram datagram;
     datagram.mutable_presence()->set_is_leaving(m_roster.ownPresence().isLeaving);
     datagram.mutable_presence()->set_cannot_read(m_roster.ownPresence().cannotRead);
+    const RulesStatus rules = m_rulesStatusProvider();
+    datagram.mutable_presence()->set_rules_digest(rules.digest);
+    datagram.mutable_presence()->set_rules_revision(rules.revision.value());
     writeDemands(m_demandProvider(), *datagram.mutable_presence()->mutable_demands());
     return datagram;
 }
@@ -185,30 +188,78 @@
 void PeerNetwork::broadcastUpdate(const SourceUpdate &update)
 {
     peer::Datagram datagram;
-    peer::Reading &message = *datagram.add_readings();
-    encodeSourceUpdate(update, m_loop.now(), message);
-    const DividedDocument document = update.document.empty() ? DividedDocument() : divideDocument(update.document);
-    const std::vector<std::string> &parts = document.parts;
-    message.set_document_id(document.id);
-    if (parts.empty()) {
-        sendUpdate(datagram);
-    }
-    message.set_parts(static_cast<std::uint32_t>(parts.size()));
+    encodeSourceUpdate(update, m_loop.now(), *datagram.add_readings());
+    sendUpdate(datagram);
+}
+
+std::vector<peer::Reading> PeerNetwork::encodeDocument(const SourceUpdate &update)
+{
+    const DividedDocument document = divideDocument(update.document);
+    std::vector<peer::Reading> messages(document.parts.size());
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        encodeSourceUpdate(update, m_loop.now(), messages[i]);
+        messages[i].set_document_id(document.id);
+        messages[i].set_parts(static_cast<std::uint32_t>(messages.size()));
+        messages[i].set_part(static_cast<std::uint32_t>(i));
+        messages[i].set_document_part(document.parts[i]);
+    }
+    return messages;
+}
+
+void PeerNetwork::broadcastDocument(const SourceUpdate &update)
+{
+    const std::vector<peer::Reading> messages = encodeDocument(update);
     std::size_t receivers = 0;
-    std::size_t bytes = 0;
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        message.set_part(static_cast<std::uint32_t>(i));
-        message.set_document_part(parts[i]);
+    for (const peer::Reading &message : messages) {
+        peer::Datagram datagram;
+        *datagram.add_readings() = message;
         receivers = sendUpdate(datagram);
-        bytes += parts[i].size();
     }
     m_sentDocuments += receivers;
-    if (!update.document.empty()) {
-        logEvent(PeerEvents::documentSent,
-                 { { "digest", update.digest },
-                   { "parts", parts.size() },
-                   { "bytes", bytes },
-                   { "receivers", receivers } });
+    logEvent(PeerEvents::documentSent,
+             { { "digest", update.digest },
+               { "parts", messages.size() },
+               { "bytes", update.document.size() },
+               { "receivers", receivers } });
+}
+
+void PeerNetwork::requestRules(const VmId &vm, std::uint64_t digest)
+{
+    if (const VmRecord *const record = m_roster.find(vm)) {
+        peer::Datagram datagram;
+        datagram.mutable_rules_request()->set_digest(digest);
+        send(*record, datagram);
+    }
+}
+
+void PeerNetwork::sendRules(const VmId &vm, const SourceUpdate &update)
+{
+    const VmRecord *const record = m_roster.find(vm);
+    if (record == nullptr) {
+        return;
+    }
+    peer::Datagram datagram;
+    if (update.document.empty()) {
+        encodeSourceUpdate(update, m_loop.now(), *datagram.mutable_rules_reply());
+        send(*record, datagram);
+        return;
+    }
+    for (peer::Reading &message : encodeDocument(update)) {
+        *datagram.mutable_rules_reply() = std::move(message);
+        send(*record, datagram);
+    }
+    ++m_sentDocuments;
+}
+
+void PeerNetwork::takeRules(const VmRecord &sender, const peer::Datagram &datagram)
+{
+    if (datagram.has_rules_request()) {
+        m_onRulesRequest(sender.vm, datagram.rules_request().digest());
+    }
+    if (datagram.has_rules_reply()) {
+        if (const std::optional<SourceUpdate> update = assembleUpdate(sender, datagram.rules_reply())) {
+            m_onRulesReply(*update);
+        }
     }
 }
 
@@ -232,31 +283,38 @@
     }
 }
 
-void PeerNetwork::takeUpdate(const VmRecord &sender, const peer::Reading &message)
+std::optional<SourceUpdate> PeerNetwork::assembleUpdate(const VmRecord &sender, const peer::Reading &message)
 {
     std::optional<SourceUpdate> update = decodeSourceUpdate(message, m_loop.now());
     if (!update) {
-        return;
+        return std::nullopt;
     }
     update->origin = message.told_by().empty() ? sender.vm : VmId(message.told_by());
-    if (message.parts() > 0) {
-        const std::uint64_t lostBefore = m_documentParts.lostDocuments();
-        // An older release sends no id.
-        const std::uint64_t id = message.document_id() != 0 ? message.document_id() : message.digest();
-        std::optional<std::string> document =
-            m_documentParts.add(id, message.part(), message.parts(), message.document_part());
-        if (m_documentParts.lostDocuments() != lostBefore) {
-            logEvent(PeerEvents::documentLost,
-                     { { "vm", sender.vm }, { "digest", update->digest }, { "parts", message.parts() } });
-        }
-        if (!document) {
-            // If a part was lost, a later update carries the same digest and reveals the gap.
-            return;
-        }
-        ++m_receivedDocuments;
-        update->document = std::move(*document);
+    if (message.parts() == 0) {
+        return update;
+    }
+    const std::uint64_t lostBefore = m_documentParts.lostDocuments();
+    // An older release sends no id.
+    const std::uint64_t id = message.document_id() != 0 ? message.document_id() : message.digest();
+    std::optional<std::string> document =
+        m_documentParts.add(id, message.part(), message.parts(), message.document_part());
+    if (m_documentParts.lostDocuments() != lostBefore) {
+        logEvent(PeerEvents::documentLost,
+                 { { "vm", sender.vm }, { "digest", update->digest }, { "parts", message.parts() } });
+    }
+    if (!document) {
+        return std::nullopt;
+    }
+    ++m_receivedDocuments;
+    update->document = std::move(*document);
+    return update;
+}
+
+void PeerNetwork::takeUpdate(const VmRecord &sender, const peer::Reading &message)
+{
+    if (const std::optional<SourceUpdate> update = assembleUpdate(sender, message)) {
+        m_onUpdate(*update);
     }
-    m_onUpdate(*update);
 }
 
 void PeerNetwork::requestTargetSync(const VmId &vm, const ShortDigests &digests)
@@ -403,6 +461,7 @@
         m_roster.noteReportedSilent(VmId(vm), peer.vm, m_loop.now());
     }
     takeTargets(peer, datagram);
+    takeRules(peer, datagram);
     takeLoans(peer, datagram);
 }
 
@@ -416,6 +475,10 @@
                      Deadline::after(m_loop.now(), demandLifetime));
     m_roster.noteHeartbeat(sender.vm, datagram.started(), { isLeaving, datagram.presence().cannot_read() },
                            m_loop.now());
+    if (datagram.presence().rules_revision() > 0) {
+        m_onRulesStatus(sender.vm,
+                        { datagram.presence().rules_digest(), SourceRevision(datagram.presence().rules_revision()) });
+    }
     if (isNewProcess || isFirst) {
         // The sender has not received this VM's presence yet, and may know no crash suspects.
         peer::Datagram greeting = presence();
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -46,6 +46,9 @@
     }
     void setReadable(SourceKind kind, bool isReadable) override;
     void broadcastUpdate(const SourceUpdate &update) override;
+    void broadcastDocument(const SourceUpdate &update) override;
+    void requestRules(const VmId &vm, std::uint64_t digest) override;
+    void sendRules(const VmId &vm, const SourceUpdate &update) override;
     void sendToRelays(const SourceUpdate &update, std::string_view sourceName) override;
     void requestTargetSync(const VmId &vm, const ShortDigests &digests) override;
     void sendTargetSyncReply(const VmId &vm, const TargetSyncReply &syncReply) override;
@@ -59,6 +62,26 @@
     {
         m_onTargetSyncReply = std::move(callback);
     }
+    /// Sets a function that handles the rules request of another VM, which has rules with the given digest.
+    void onRulesRequest(std::function<void(const VmId &, std::uint64_t)> callback)
+    {
+        m_onRulesRequest = std::move(callback);
+    }
+    /// Sets a function that receives the replies to requestRules().
+    void onRulesReply(std::function<void(const SourceUpdate &)> callback)
+    {
+        m_onRulesReply = std::move(callback);
+    }
+    /// Sets a function that returns which rules this VM has, which its heartbeats tell.
+    void setRulesStatusProvider(std::function<RulesStatus()> provider)
+    {
+        m_rulesStatusProvider = std::move(provider);
+    }
+    /// Sets a function that receives which rules another VM has.
+    void onRulesStatus(std::function<void(const VmId &, const RulesStatus &)> callback)
+    {
+        m_onRulesStatus = std::move(callback);
+    }
     /// Sets a function that receives source updates of other VMs.
     void onUpdate(std::function<void(const SourceUpdate &)> callback)
     {
@@ -110,13 +133,19 @@
     /// Sends the own presence to all VMs of the region at once, after a change.
     void broadcastPresence();
     void takeUpdate(const VmRecord &sender, const peer::Reading &message);
+    /// Returns the update with its document; nothing as long as parts of the document are missing.
+    std::optional<SourceUpdate> assembleUpdate(const VmRecord &sender, const peer::Reading &message);
+    void takeRules(const VmRecord &sender, const peer::Datagram &datagram);
     void takeTargets(const VmRecord &sender, const peer::Datagram &datagram);
     void sendTo(const RegionId &region, const peer::Datagram &datagram);
     /// Sends source updates to all VMs of the own region. In a large region, one VM of each other availability zone
     /// forwards them within its zone, since traffic between zones is billed. Returns how many VMs this one sent them to.
     std::size_t sendUpdate(const peer::Datagram &datagram);
-    /// Forwards the updates of another VM's datagram to the VMs of the own availability zone, with that VM as origin.
+    /// Forwards the updates of another VM's datagram to the VMs that it names, or to those of the own availability
+    /// zone, with the VM that sent them first as origin.
     void forward(const VmRecord &sender, const peer::Datagram &datagram);
+    /// Returns the document's update as messages, one for each part.
+    std::vector<peer::Reading> encodeDocument(const SourceUpdate &update);
     /// Tells one VM of each region what it may not know: the demand of the own region, and crash suspects.
     void reportToRegions();
     void checkSilence();
@@ -137,6 +166,9 @@
     std::function<ServiceDemands()> m_demandProvider { [] {
         return ServiceDemands();
     } };
+    std::function<RulesStatus()> m_rulesStatusProvider { [] {
+        return RulesStatus();
+    } };
     std::size_t m_reports { 0 }; ///< Rounds of reports sent to the regions.
     std::unique_ptr<PeerSocket> m_socket;
     Timer m_heartbeat;
@@ -148,13 +180,16 @@
     std::function<void(const VmId &, const ShortDigests &)> m_onTargetSyncRequest { [](const VmId &,
                                                                                        const ShortDigests &) {} };
     std::function<void(const TargetSyncReply &)> m_onTargetSyncReply { [](const TargetSyncReply &) {} };
+    std::function<void(const VmId &, std::uint64_t)> m_onRulesRequest { [](const VmId &, std::uint64_t) {} };
+    std::function<void(const SourceUpdate &)> m_onRulesReply { [](const SourceUpdate &) {} };
+    std::function<void(const VmId &, const RulesStatus &)> m_onRulesStatus { [](const VmId &, const RulesStatus &) {} };
     std::function<void(const CrashSuspect &)> m_onSuspect { [](const CrashSuspect &) {} };
     std::function<std::vector<CrashSuspect>(std::size_t)> m_suspectProvider { [](std::size_t) {
         return std::vector<CrashSuspect>();
     } };
     CrashSuspectGossip m_suspectGossip;
     std::set<SourceKind> m_unreadable; ///< Sources that this VM can't read.
-    DocumentParts m_documentParts; ///< Of rules; usually one VM broadcasts them at a time.
+    DocumentParts m_documentParts;
     std::set<VmId> m_announcedTo; ///< VMs to which this VM has sent its presence.
     std::set<VmId> m_serving; ///< VMs that were heard from and are neither silent nor leaving; changes are logged.
     TimePoint m_silenceCheckedAt {};
--- a/Libraries/LibPeer/SourceUpdate.h
+++ b/Libraries/LibPeer/SourceUpdate.h
@@ -27,4 +27,11 @@
     SourceRevision revision {}; ///< The platform's, when it was read.
 };
 
+/// The rules that a VM has.
+struct RulesStatus
+{
+    std::uint64_t digest { 0 };
+    SourceRevision revision {}; ///< The newest one at which they are known to have been the platform's.
+};
+
 } // namespace Sapphire
--- a/Tests/LibEntry/RulesRegion.h
+++ b/Tests/LibEntry/RulesRegion.h
@@ -126,13 +126,34 @@
         }
         void broadcastUpdate(const SourceUpdate &update) override
         {
+            SourceUpdate announcement = update;
+            announcement.document.clear();
             for (const auto &vm : m_region.vms) {
-                const bool isLost = vm->losesUpdates || (vm->losesDocuments && !update.document.empty());
-                if (vm->record.vm != m_vm && !isLost) {
+                if (vm->record.vm != m_vm && !vm->losesUpdates) {
+                    deliver(*vm, announcement);
+                }
+            }
+        }
+        void broadcastDocument(const SourceUpdate &update) override
+        {
+            for (const auto &vm : m_region.vms) {
+                if (vm->record.vm != m_vm && !vm->losesUpdates && !vm->losesDocuments) {
                     deliver(*vm, update);
                 }
             }
         }
+        void requestRules(const VmId &vm, std::uint64_t digest) override
+        {
+            m_region.post([this, vm, digest] {
+                m_region.find(vm).synchronizer->answerRulesRequest(m_vm, digest);
+            });
+        }
+        void sendRules(const VmId &vm, const SourceUpdate &update) override
+        {
+            m_region.post([this, vm, update] {
+                m_region.find(vm).synchronizer->takeRulesReply(update);
+            });
+        }
         void sendToRelays(const SourceUpdate &, std::string_view) override
         {
         }
@@ -241,6 +262,23 @@
     {
         return *vms.back();
     }
+    Vm &find(const VmId &id)
+    {
+        return **std::find_if(vms.begin(), vms.end(), [&](const std::unique_ptr<Vm> &vm) {
+            return vm->record.vm == id;
+        });
+    }
+    /// Each VM tells all others by heartbeat which rules it has.
+    void exchangeHeartbeats()
+    {
+        for (const auto &sender : vms) {
+            for (const auto &receiver : vms) {
+                if (sender != receiver) {
+                    receiver->synchronizer->takeStatus(sender->record.vm, sender->synchronizer->status());
+                }
+            }
+        }
+    }
     bool isInForce(const Vm &vm) const
     {
         return vm.version == store.version();
--- a/Tests/LibEntry/SynchronizerFixture.h
+++ b/Tests/LibEntry/SynchronizerFixture.h
@@ -18,6 +18,18 @@
     {
         m_updates.push_back(update);
     }
+    void broadcastDocument(const SourceUpdate &update) override
+    {
+        m_documents.push_back(update);
+    }
+    void requestRules(const VmId &vm, std::uint64_t) override
+    {
+        m_rulesRequests.push_back(vm);
+    }
+    void sendRules(const VmId &, const SourceUpdate &update) override
+    {
+        m_sentRules.push_back(update);
+    }
     void sendToRelays(const SourceUpdate &update, std::string_view) override
     {
         m_relayed.push_back(update);
@@ -48,6 +60,21 @@
     {
         return m_relayed;
     }
+    /// Returns the updates that were sent with their documents.
+    const std::vector<SourceUpdate> &documents() const
+    {
+        return m_documents;
+    }
+    /// Returns the VMs that were asked for their rules.
+    const std::vector<VmId> &rulesRequests() const
+    {
+        return m_rulesRequests;
+    }
+    /// Returns the replies to rules requests.
+    const std::vector<SourceUpdate> &sentRules() const
+    {
+        return m_sentRules;
+    }
     const std::vector<SyncRequest> &syncRequests() const
     {
         return m_syncRequests;
@@ -59,6 +86,9 @@
 
 private:
     std::vector<SourceUpdate> m_updates;
+    std::vector<SourceUpdate> m_documents;
+    std::vector<VmId> m_rulesRequests;
+    std::vector<SourceUpdate> m_sentRules;
     std::vector<SourceUpdate> m_relayed;
     std::vector<SyncRequest> m_syncRequests;
     std::vector<TargetSyncReply> m_syncReplies;
--- a/Tests/LibEntry/TestRulesSpread.cpp
+++ b/Tests/LibEntry/TestRulesSpread.cpp
@@ -23,6 +23,19 @@
     CHECK(region.timeUntilInForce(region.follower(), configurationDeadline) < configurationDeadline);
 }
 
+TEST_CASE("A VM that no broadcast reaches and that the store refuses has new rules in time")
+{
+    // Guards against a VM that doesn't know that it lacks anything, since it learns of new rules with them only.
+    RulesRegion region(3);
+    region.start();
+    region.follower().losesUpdates = true;
+    region.follower().source.mode = StoreAccess::Mode::Refusing;
+    region.store.change();
+    region.runFor(Milliseconds(500));
+    region.exchangeHeartbeats();
+    CHECK(region.timeUntilInForce(region.follower(), configurationDeadline) < configurationDeadline);
+}
+
 TEST_CASE("Rules that another VM sends are in force in time although a call to the store is pending")
 {
     // Guards against an update that waits until a call to a silent store has ended.
--- a/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
+++ b/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
@@ -46,7 +46,7 @@
     update.digest = 7;
     update.readAt = region.now();
     update.document = "document";
-    region.vms().front().network->broadcastUpdate(update);
+    region.vms().front().network->broadcastDocument(update);
     CHECK(region.runUntil([&region] {
         return std::all_of(region.vms().begin() + 1, region.vms().end(), [](const PeerVm &vm) {
             return std::any_of(vm.received.begin(), vm.received.end(), [](const SourceUpdate &received) {
