LibPeer: Send documents along a fan-out, at the rate of the sender's link

A link of 10 Mbit/s queues about a dozen of them and drops the rest without an error, so that the last VMs in the order of ids lost each document. Choosing senders with larger links moves the loss to zones that have none.

- A VM sends the document to at most three VMs of its zone and one of each other zone; the datagram names those to which the receiver forwards it in the same way.
Available VMs with a large processor share come first.
This holds in a region of any size.
- Documents leave at half of the rate of the VM's link, from its settings.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds callTime { 1'500 };
 constexpr Milliseconds lookUpTimeToLive { 2'000 };
 constexpr int statusUnavailable = 503;
+// Documents for other VMs may fill this part of the link (one half); the rest is for requests.
+constexpr std::uint64_t documentShareOfLink = 2;
 
 VmRecord ownRecord(const EntrySettings &settings, const Clock &clock)
 {
@@ -68,7 +70,9 @@
     m_metrics.gauge("sapphire_configuration_version", "", [this] {
         return m_gateway->rules() ? static_cast<double>(m_gateway->rules()->version().value()) : 0;
     });
-    BOOST_LEAF_ASSIGN(m_peers, PeerNetwork::create(*m_loop, m_own, m_roster, m_gateway->quotas()));
+    BOOST_LEAF_ASSIGN(m_peers,
+                      PeerNetwork::create(*m_loop, m_own, m_roster, m_gateway->quotas(),
+                                          BytesPerSecond(m_settings.linkRate.value() / documentShareOfLink)));
     registerPeerMetrics();
     m_gateway->quotaWaiters().setSource(*this);
     m_gateway->dispatcher().setDemandSource(*this);
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/BytesPerSecond.h>
 #include <LibGateway/GatewaySettings.h>
 
 namespace Sapphire {
@@ -15,6 +16,7 @@
     std::string metricsAddress; ///< "ip:port"; empty for none.
     bool isFirstStart { false }; ///< The whole deployment starts for the first time.
     double processorShare { 1 }; ///< The part of a core that this VM may use.
+    BytesPerSecond linkRate { 1'250'000 }; ///< Of this VM's link.
     Milliseconds longestLookUpTimeToLive { 5'000 }; ///< Callers use a longer one up to this only.
 };
 
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -29,10 +29,13 @@
 // forwarded as if they were new.
 constexpr Milliseconds longestBacklogPause { 500 };
 constexpr Milliseconds backlogTime { 500 };
+// To how many VMs of its availability zone a VM sends a document. Three levels reach 39 VMs.
+constexpr std::size_t documentBranches = 3;
 
 } // namespace
 
-PeerNetwork::PeerNetwork(EventLoop &loop, VmRecord own, VmRoster &roster, CustomerQuotas &quotas)
+PeerNetwork::PeerNetwork(EventLoop &loop, VmRecord own, VmRoster &roster, CustomerQuotas &quotas,
+                         BytesPerSecond documentRate)
     : m_loop(loop)
     , m_own(std::move(own))
     , m_roster(roster)
@@ -45,6 +48,10 @@
                   send(lender, datagram);
               })
     , m_demands(m_own.locality.region)
+    , m_documentPacer(loop, documentRate,
+                      [this](const Poco::Net::SocketAddress &receiver, const std::string &bytes) {
+                          m_socket->send(receiver, bytes);
+                      })
     , m_heartbeat(loop,
                   [this] {
                       announce();
@@ -63,9 +70,9 @@
 }
 
 Result<std::unique_ptr<PeerNetwork>> PeerNetwork::create(EventLoop &loop, const VmRecord &own, VmRoster &roster,
-                                                         CustomerQuotas &quotas)
+                                                         CustomerQuotas &quotas, BytesPerSecond documentRate)
 {
-    std::unique_ptr<PeerNetwork> network(new PeerNetwork(loop, own, roster, quotas));
+    std::unique_ptr<PeerNetwork> network(new PeerNetwork(loop, own, roster, quotas, documentRate));
     BOOST_LEAF_ASSIGN(network->m_socket,
                       PeerSocket::create(loop, Poco::Net::SocketAddress(own.peerAddress),
                                          [raw = network.get()](const auto &sender, std::string_view bytes) {
@@ -160,15 +167,25 @@
 
 void PeerNetwork::sendToAll(const std::vector<VmRecord> &peers, const peer::Datagram &datagram)
 {
-    peer::Datagram completeDatagram = datagram;
-    completeDatagram.set_vm(m_own.vm.text());
-    completeDatagram.set_started(m_own.startedAtMilliseconds);
-    const std::string bytes = completeDatagram.SerializeAsString();
+    const std::string bytes = encode(datagram);
     for (const VmRecord &peer : peers) {
         m_socket->send(Poco::Net::SocketAddress(peer.peerAddress), bytes);
     }
 }
 
+void PeerNetwork::sendPaced(const VmRecord &peer, const peer::Datagram &datagram)
+{
+    m_documentPacer.send(Poco::Net::SocketAddress(peer.peerAddress), encode(datagram));
+}
+
+std::string PeerNetwork::encode(const peer::Datagram &datagram) const
+{
+    peer::Datagram completeDatagram = datagram;
+    completeDatagram.set_vm(m_own.vm.text());
+    completeDatagram.set_started(m_own.startedAtMilliseconds);
+    return completeDatagram.SerializeAsString();
+}
+
 void PeerNetwork::setReadable(SourceKind kind, bool isReadable)
 {
     if (isReadable) {
@@ -208,19 +225,45 @@
 
 void PeerNetwork::broadcastDocument(const SourceUpdate &update)
 {
+    // The document crosses to each other availability zone once, since traffic between zones is billed.
+    std::vector<FanOutBranch> branches;
+    for (const std::vector<VmId> &zone : m_roster.forwardersByZone(m_loop.now())) {
+        const bool isOwnZone =
+            m_roster.find(zone.front())->locality.availabilityZone == m_own.locality.availabilityZone;
+        for (FanOutBranch &branch : planFanOut(zone, isOwnZone ? documentBranches : 1)) {
+            branches.push_back(std::move(branch));
+        }
+    }
     const std::vector<peer::Reading> messages = encodeDocument(update);
-    std::size_t receivers = 0;
     for (const peer::Reading &message : messages) {
         peer::Datagram datagram;
         *datagram.add_readings() = message;
-        receivers = sendUpdate(datagram);
+        sendToBranches(branches, datagram);
     }
-    m_sentDocuments += receivers;
     logEvent(PeerEvents::documentSent,
              { { "digest", update.digest },
                { "parts", messages.size() },
                { "bytes", update.document.size() },
-               { "receivers", receivers } });
+               { "receivers", branches.size() } });
+}
+
+void PeerNetwork::sendToBranches(const std::vector<FanOutBranch> &branches, const peer::Datagram &datagram)
+{
+    for (const FanOutBranch &branch : branches) {
+        const VmRecord *const head = m_roster.find(branch.vm);
+        if (head == nullptr) {
+            continue;
+        }
+        peer::Datagram forwarded = datagram;
+        for (const VmId &vm : branch.forwardTo) {
+            forwarded.add_forward_to(vm.text());
+        }
+        // VMs of a release that doesn't know the list forward to their whole zone.
+        forwarded.set_is_to_pass_on(!branch.forwardTo.empty()
+                                    && head->locality.availabilityZone != m_own.locality.availabilityZone);
+        sendPaced(*head, forwarded);
+        ++m_sentDocuments;
+    }
 }
 
 void PeerNetwork::requestRules(const VmId &vm, std::uint64_t digest)
@@ -246,7 +289,7 @@
     }
     for (peer::Reading &message : encodeDocument(update)) {
         *datagram.mutable_rules_reply() = std::move(message);
-        send(*record, datagram);
+        sendPaced(*record, datagram);
     }
     ++m_sentDocuments;
 }
@@ -265,8 +308,8 @@
 
 PeerStatistics PeerNetwork::statistics() const
 {
-    return { m_socket->sentBytes(), m_socket->refusedDatagrams(), m_sentDocuments, m_receivedDocuments,
-             m_documentParts.lostDocuments() };
+    return { m_socket->sentBytes(), m_socket->refusedDatagrams() + m_documentPacer.droppedDatagrams(), m_sentDocuments,
+             m_receivedDocuments, m_documentParts.lostDocuments() };
 }
 
 void PeerNetwork::sendToRelays(const SourceUpdate &update, std::string_view sourceName)
@@ -360,20 +403,16 @@
     sendToAll(m_roster.peersIn(region), datagram);
 }
 
-std::size_t PeerNetwork::sendUpdate(const peer::Datagram &datagram)
+void PeerNetwork::sendUpdate(const peer::Datagram &datagram)
 {
     if (!m_roster.isRegionLarge()) {
-        const std::vector<VmRecord> peers = m_roster.peersIn(m_own.locality.region);
-        sendToAll(peers, datagram);
-        return peers.size();
+        sendTo(m_own.locality.region, datagram);
+        return;
     }
-    const std::vector<VmRecord> peers = m_roster.peersInZone();
-    const std::vector<VmRecord> relays = m_roster.zoneRelays(m_loop.now());
-    sendToAll(peers, datagram);
+    sendToAll(m_roster.peersInZone(), datagram);
     peer::Datagram toForward = datagram;
     toForward.set_is_to_pass_on(true);
-    sendToAll(relays, toForward);
-    return peers.size() + relays.size();
+    sendToAll(m_roster.zoneRelays(m_loop.now()), toForward);
 }
 
 void PeerNetwork::forward(const VmRecord &sender, const peer::Datagram &datagram)
@@ -385,22 +424,19 @@
     peer::Datagram forwarded;
     *forwarded.mutable_readings() = datagram.readings();
     for (peer::Reading &update : *forwarded.mutable_readings()) {
-        update.set_told_by(sender.vm.text());
-    }
-    const std::vector<VmRecord> peers = m_roster.peersInZone();
-    sendToAll(peers, forwarded);
-    for (const peer::Reading &update : forwarded.readings()) {
-        if (update.parts() > 0) {
-            m_sentDocuments += peers.size();
-            logEvent(PeerEvents::documentSent,
-                     { { "digest", update.digest() },
-                       { "part", update.part() },
-                       { "parts", update.parts() },
-                       { "bytes", update.document_part().size() },
-                       { "receivers", peers.size() },
-                       { "origin", sender.vm } });
+        if (update.told_by().empty()) {
+            update.set_told_by(sender.vm.text());
         }
     }
+    if (datagram.forward_to().empty()) {
+        sendToAll(m_roster.peersInZone(), forwarded);
+        return;
+    }
+    std::vector<VmId> receivers;
+    for (const std::string &vm : datagram.forward_to()) {
+        receivers.emplace_back(vm);
+    }
+    sendToBranches(planFanOut(receivers, documentBranches), forwarded);
 }
 
 void PeerNetwork::broadcastSuspect(const CrashSuspect &suspect)
@@ -441,7 +477,7 @@
         return;
     }
     const VmRecord peer = *record;
-    if (datagram.is_to_pass_on()) {
+    if (datagram.is_to_pass_on() || !datagram.forward_to().empty()) {
         forward(peer, datagram);
     }
     if (datagram.has_presence()) {
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <LibPeer/CrashSuspectGossip.h>
+#include <LibPeer/DatagramPacer.h>
 #include <LibPeer/DemandTracker.h>
 #include <LibPeer/DocumentParts.h>
 #include <LibPeer/LoanBroker.h>
 #include <LibPeer/PeerSocket.h>
 #include <LibPeer/SourceUpdatePeers.h>
+#include <LibSteering/FanOut.h>
 #include <LibSteering/TargetReport.h>
 
 #include <Peer.pb.h>
@@ -19,7 +21,7 @@
 struct PeerStatistics
 {
     std::uint64_t sentBytes { 0 }; ///< Of datagrams that the kernel has accepted.
-    std::uint64_t refusedDatagrams { 0 }; ///< By the kernel.
+    std::uint64_t refusedDatagrams { 0 }; ///< By the kernel, or because too many were waiting.
     std::uint64_t sentDocuments { 0 }; ///< Copies of documents, one for each receiver.
     std::uint64_t receivedDocuments { 0 };
     std::uint64_t lostDocuments { 0 }; ///< Of which at least one part was received.
@@ -32,8 +34,9 @@
 {
 public:
     /// Fails with Unavailable if the own address can't be used. Roster and quotas must outlive the network.
-    [[nodiscard]] static Result<std::unique_ptr<PeerNetwork>> create(EventLoop &loop, const VmRecord &own,
-                                                                     VmRoster &roster, CustomerQuotas &quotas);
+    /// Documents are sent at no more than the given rate.
+    [[nodiscard]] static Result<std::unique_ptr<PeerNetwork>>
+    create(EventLoop &loop, const VmRecord &own, VmRoster &roster, CustomerQuotas &quotas, BytesPerSecond documentRate);
 
     /// Applies the complete list of VMs and announces this VM to new ones of its region.
     void applyRecords(const std::vector<VmRecord> &records);
@@ -121,7 +124,7 @@
     }
 
 private:
-    PeerNetwork(EventLoop &loop, VmRecord own, VmRoster &roster, CustomerQuotas &quotas);
+    PeerNetwork(EventLoop &loop, VmRecord own, VmRoster &roster, CustomerQuotas &quotas, BytesPerSecond documentRate);
 
     void receive(const Poco::Net::SocketAddress &sender, std::string_view bytes);
     void takePresence(const VmRecord &sender, const peer::Datagram &datagram);
@@ -139,13 +142,18 @@
     void takeTargets(const VmRecord &sender, const peer::Datagram &datagram);
     void sendTo(const RegionId &region, const peer::Datagram &datagram);
     /// Sends source updates to all VMs of the own region. In a large region, one VM of each other availability zone
-    /// forwards them within its zone, since traffic between zones is billed. Returns how many VMs this one sent them to.
-    std::size_t sendUpdate(const peer::Datagram &datagram);
+    /// forwards them within its zone, since traffic between zones is billed.
+    void sendUpdate(const peer::Datagram &datagram);
     /// Forwards the updates of another VM's datagram to the VMs that it names, or to those of the own availability
     /// zone, with the VM that sent them first as origin.
     void forward(const VmRecord &sender, const peer::Datagram &datagram);
     /// Returns the document's update as messages, one for each part.
     std::vector<peer::Reading> encodeDocument(const SourceUpdate &update);
+    /// Sends a part of a document to the heads of branches, at the rate for documents.
+    void sendToBranches(const std::vector<FanOutBranch> &branches, const peer::Datagram &datagram);
+    void sendPaced(const VmRecord &peer, const peer::Datagram &datagram);
+    /// Adds the sender to a datagram and encodes it.
+    std::string encode(const peer::Datagram &datagram) const;
     /// Tells one VM of each region what it may not know: the demand of the own region, and crash suspects.
     void reportToRegions();
     void checkSilence();
@@ -171,6 +179,7 @@
     } };
     std::size_t m_reports { 0 }; ///< Rounds of reports sent to the regions.
     std::unique_ptr<PeerSocket> m_socket;
+    DatagramPacer m_documentPacer;
     Timer m_heartbeat;
     Timer m_suspectTimer;
     Timer m_loanTimer;
--- a/Libraries/LibSteering/VmRoster.cpp
+++ b/Libraries/LibSteering/VmRoster.cpp
@@ -258,6 +258,35 @@
     return relays;
 }
 
+std::vector<std::vector<VmId>> VmRoster::forwardersByZone(TimePoint now) const
+{
+    struct Ranked
+    {
+        bool isAvailable;
+        SenderScore score;
+        VmId vm;
+    };
+    const std::uint64_t key = stableHash("forwarder of " + m_own.text());
+    std::map<AvailabilityZoneId, std::vector<Ranked>> zones;
+    for (const auto &[vm, entry] : m_entries) {
+        if (vm != m_own && entry.record.locality.region == m_ownLocality.region) {
+            zones[entry.record.locality.availabilityZone].push_back(
+                { isAvailable(vm, now), senderScore(key, entry), vm });
+        }
+    }
+    std::vector<std::vector<VmId>> forwarders;
+    for (auto &[zone, ranked] : zones) {
+        std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
+            return left.isAvailable != right.isAvailable ? left.isAvailable : left.score > right.score;
+        });
+        std::vector<VmId> &vms = forwarders.emplace_back();
+        for (Ranked &entry : ranked) {
+            vms.push_back(std::move(entry.vm));
+        }
+    }
+    return forwarders;
+}
+
 const VmRecord *VmRoster::find(const VmId &vm) const
 {
     const auto found = m_entries.find(vm);
--- a/Libraries/LibSteering/VmRoster.h
+++ b/Libraries/LibSteering/VmRoster.h
@@ -111,6 +111,10 @@
     /// and which forwards it within its zone. The choice depends on the sender: if two VMs send the same, they mostly
     /// use different relays, so that a relay that has just died loses only one of the two messages.
     std::vector<VmRecord> zoneRelays(TimePoint now) const;
+    /// Returns the other VMs of this region, by availability zone, in the order in which they forward documents: those
+    /// that are available first, of these the ones with the largest processor share. Among equal ones the order depends
+    /// on the sender, so that a VM that has just died is not every sender's first one.
+    std::vector<std::vector<VmId>> forwardersByZone(TimePoint now) const;
     /// Returns whether the list of VMs was read.
     bool hasList() const
     {
--- a/Tests/LibPeer/PeerVms.h
+++ b/Tests/LibPeer/PeerVms.h
@@ -57,7 +57,8 @@
         vm.roster = std::make_unique<VmRoster>(vm.record.vm, vm.record.locality, settings);
         vm.quotas = std::make_unique<CustomerQuotas>(vm.record.vm, QuotaSettings {});
         vm.network = std::move(capture([&] {
-                                   return PeerNetwork::create(*m_loop, vm.record, *vm.roster, *vm.quotas);
+                                   return PeerNetwork::create(*m_loop, vm.record, *vm.roster, *vm.quotas,
+                                                              BytesPerSecond(1'000'000));
                                }).value());
         vm.network->onUpdate([&vm](const SourceUpdate &update) {
             vm.received.push_back(update);
--- a/Tests/LibPeer/TestMalformedDatagrams.cpp
+++ b/Tests/LibPeer/TestMalformedDatagrams.cpp
@@ -74,9 +74,10 @@
     const VmRecord own = recordOf(subnet, 0);
     VmRoster roster(own.vm, own.locality, {});
     CustomerQuotas quotas(own.vm, QuotaSettings {});
-    const std::unique_ptr<PeerNetwork> network = std::move(capture([&] {
-                                                               return PeerNetwork::create(*loop, own, roster, quotas);
-                                                           }).value());
+    const std::unique_ptr<PeerNetwork> network =
+        std::move(capture([&] {
+                      return PeerNetwork::create(*loop, own, roster, quotas, BytesPerSecond(1'000'000));
+                  }).value());
     network->applyRecords({ own, recordOf(subnet, 1) });
     int updates = 0;
     network->onUpdate([&updates](const SourceUpdate &) {
--- a/Tests/LibSteering/TestVmRoster.cpp
+++ b/Tests/LibSteering/TestVmRoster.cpp
@@ -198,6 +198,29 @@
     CHECK(!roster.isServing(vm, later + Milliseconds(10'000)));
 }
 
+TEST_CASE("VmRoster lets available VMs with a large processor share forward documents first, in each availability zone")
+{
+    // Guards against documents that wait for a dead VM, or that the link of a small one carries for a whole zone.
+    std::vector<VmRecord> records;
+    for (const char *vm : { "own", "a1", "a2", "b1", "b2", "b3", "far" }) {
+        records.push_back(record(vm, vm == std::string("far") ? "pampa" : "cuyo"));
+        records.back().locality.availabilityZone = AvailabilityZoneId(vm[0] == 'b' ? "cuyo-b" : "cuyo-a");
+        records.back().processorShare = vm[1] == '2' ? 0.5 : 0.07;
+    }
+    VmRoster roster(VmId("own"), records.front().locality, {});
+    roster.applyRecords(records, start);
+    const TimePoint now = start + Milliseconds(2'000);
+    for (const char *vm : { "a1", "a2", "b1", "b3" }) {
+        roster.noteHeartbeat(VmId(vm), 1, {}, now);
+    }
+    const std::vector<std::vector<VmId>> zones = roster.forwardersByZone(now);
+    REQUIRE(zones.size() == 2);
+    CHECK(zones[0] == std::vector { VmId("a2"), VmId("a1") });
+    REQUIRE(zones[1].size() == 3);
+    // Nothing was heard of b2.
+    CHECK(zones[1].back() == VmId("b2"));
+}
+
 TEST_CASE("VmRoster chooses a living relay in each other availability zone, but not the same one for all senders")
 {
     // Guards against one message across availability zones for each VM, and against a zone that gets no messages while
--- a/Tests/Platform/TestNodeFile.cpp
+++ b/Tests/Platform/TestNodeFile.cpp
@@ -64,6 +64,21 @@
     CHECK(settings.longestLookUpTimeToLive == Milliseconds(2'500));
 }
 
+TEST_CASE("The rate of a VM's link is read from the limits")
+{
+    // Guards against documents that are sent faster than a small VM's link takes them.
+    const auto linkRateOf = [](const std::string &text) {
+        const Outcome<EntrySettings> settings = capture([&] {
+            return Platform::readNodeFile(text);
+        });
+        REQUIRE(settings);
+        return settings.value().linkRate;
+    };
+    CHECK(linkRateOf(replaced("\"role\"", "\"limits\": {\"link_mbps\": 200.0}, \"role\""))
+          == BytesPerSecond(25'000'000));
+    CHECK(linkRateOf(settingsText) == BytesPerSecond(1'250'000));
+}
+
 TEST_CASE("Each invalid member of the settings file is reported with its value and what was expected")
 {
     // Guards against a process that starts with incomplete settings, and against an error that doesn't name the member.
