LibPeer: Compress a document once, and forward it past VMs that aren't known yet

A VM to which a document was to be forwarded, but that the forwarder's list doesn't name yet, dropped the VMs behind it as well; they had to ask for the document.

No test makes the old code fail: it is slower and asks more.

--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -211,7 +211,12 @@
 
 std::vector<peer::Reading> PeerNetwork::encodeDocument(const SourceUpdate &update)
 {
-    const DividedDocument document = divideDocument(update.document);
+    // Many VMs may ask for the same document.
+    if (update.document != m_lastDocument) {
+        m_lastDocument = update.document;
+        m_lastDivided = divideDocument(update.document);
+    }
+    const DividedDocument &document = m_lastDivided;
     std::vector<peer::Reading> messages(document.parts.size());
     for (std::size_t i = 0; i < messages.size(); ++i) {
         encodeSourceUpdate(update, m_loop.now(), messages[i]);
@@ -434,7 +439,10 @@
     }
     std::vector<VmId> receivers;
     for (const std::string &vm : datagram.forward_to()) {
-        receivers.emplace_back(vm);
+        // A VM that this one doesn't know can't forward to the others.
+        if (m_roster.find(VmId(vm)) != nullptr) {
+            receivers.emplace_back(vm);
+        }
     }
     sendToBranches(planFanOut(receivers, documentBranches), forwarded);
 }
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -199,6 +199,8 @@
     CrashSuspectGossip m_suspectGossip;
     std::set<SourceKind> m_unreadable; ///< Sources that this VM can't read.
     DocumentParts m_documentParts;
+    std::string m_lastDocument; ///< That this VM has sent.
+    DividedDocument m_lastDivided; ///< The same, compressed and divided.
     std::set<VmId> m_announcedTo; ///< VMs to which this VM has sent its presence.
     std::set<VmId> m_serving; ///< VMs that were heard from and are neither silent nor leaving; changes are logged.
     TimePoint m_silenceCheckedAt {};
