--- a/Libraries/LibSteering/FanOut.h
+++ b/Libraries/LibSteering/FanOut.h
@@ -15,7 +15,8 @@
 };
 
 /// Divides the receivers of a message among branches, so that no VM sends it to more than that many others, whatever
-/// the number of receivers. Earlier receivers are nearer to the sender and forward to more VMs.
+/// the number of receivers; `mostBranches` is at least 1. Earlier receivers are nearer to the sender and forward to
+/// more VMs.
 std::vector<FanOutBranch> planFanOut(const std::vector<VmId> &receivers, std::size_t mostBranches);
 
 } // namespace Sapphire
