LibEntry: End a synchronizer's threads before its subclass is destroyed

The threads call functions of the subclass. EntryDaemon never called stop(), so that they were ended by the base class's destructor, after the subclass was gone; with the thread for updates there is one more that may be at work then. The destructors of both subclasses call stop() now.

Measured: TestLibEntry 16 of 16. No test makes the old code fail: the window is a few microseconds at the end of the process.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -54,6 +54,11 @@
 {
 }
 
+OperatorStateSynchronizer::~OperatorStateSynchronizer()
+{
+    stop();
+}
+
 Result<SharedSourceSynchronizer::Task> OperatorStateSynchronizer::read(bool isReader)
 {
     const Milliseconds wait = isReader ? readerWait : Milliseconds(0);
--- a/Libraries/LibEntry/OperatorStateSynchronizer.h
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.h
@@ -16,6 +16,7 @@
 public:
     OperatorStateSynchronizer(const SynchronizerContext &context, OperatorStateSource &source,
                               std::function<void(const OperatorState &)> onState);
+    ~OperatorStateSynchronizer() override;
 
     /// Which rules this VM has, for its heartbeats.
     RulesStatus status() const;
--- a/Libraries/LibEntry/SharedSourceSynchronizer.h
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.h
@@ -33,7 +33,7 @@
 
     /// Starts the thread and the first checks.
     void start(const SourcePollerSettings &settings);
-    /// Ends the thread. To be called before the loop and the subclass are destroyed.
+    /// Ends the threads. To be called at the latest by the destructor of the subclass, whose functions they call.
     void stop();
     /// Takes an update of another VM.
     void takeUpdate(const SourceUpdate &update);
--- a/Libraries/LibEntry/TargetListSynchronizer.cpp
+++ b/Libraries/LibEntry/TargetListSynchronizer.cpp
@@ -53,6 +53,11 @@
 {
 }
 
+TargetListSynchronizer::~TargetListSynchronizer()
+{
+    stop();
+}
+
 Result<SharedSourceSynchronizer::Task> TargetListSynchronizer::read(bool)
 {
     const Clock &clock = loop().clock();
--- a/Libraries/LibEntry/TargetListSynchronizer.h
+++ b/Libraries/LibEntry/TargetListSynchronizer.h
@@ -24,6 +24,7 @@
 public:
     TargetListSynchronizer(const SynchronizerContext &context, const TargetListSynchronizerSettings &settings,
                            TargetListSource &source, std::function<void(const TargetListChange &)> onChange);
+    ~TargetListSynchronizer() override;
 
     /// Answers the sync request of a VM that lacks targets.
     void answerSyncRequest(const VmId &asker, const ShortDigests &digests);
