--- a/Tests/LibPeer/TestDocumentParts.cpp
+++ b/Tests/LibPeer/TestDocumentParts.cpp
@@ -40,8 +40,7 @@
 
 TEST_CASE("DocumentParts joins documents whose parts arrive by turns, and never mixes them")
 {
-    // Guards against rules assembled from two versions, and against rules that are lost because several VMs broadcast
-    // at the same time.
+    // Guards against rules that are mixed from two versions, or lost because several VMs broadcast at the same time.
     const std::string firstText = randomText(10'000);
     const std::string secondText = randomText(11'000);
     const std::vector<std::string> first = divideDocument(firstText).parts;
