--- a/Libraries/LibGateway/WireNames.h
+++ b/Libraries/LibGateway/WireNames.h
@@ -18,6 +18,7 @@
     std::string rateLimit; ///< Header of an answer: requests a second that the target takes from all VMs together.
     std::string notRun; ///< Header of an answer that says that the target has not run the request.
     std::string coldTime; ///< Header of a health answer: how long the target stays cold.
+    std::string leaving; ///< Header of an answer that says, with the value 1, that the target takes nothing new.
     std::string targetId; ///< Header of a health answer: the id of the target that answers.
 };
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -83,6 +83,7 @@
         names.rateLimit = "Rate-Limit";
         names.notRun = "Not-Run";
         names.coldTime = "Cold-Ms";
+        names.leaving = "Leaving";
         names.targetId = "Target-Id";
         return names;
     }
