LibGateway: Send targets nothing new once they say that they leave, and nothing in a pause that they ask for

Cause: the gateway took a target's use from the platform's list alone. A stale list, or one that drops a target and shows it again, sent requests to targets that had said in their answers that they were leaving; a 503 with Retry-After was a full queue for 50 ms, and without X-Not-Executed a failure that ejects. Change: TargetNotices holds both notices for one start of a target, beside the list's entry and beyond its removal; TargetNoticeReader reads the heads of answers to requests and health checks, except 421. Eligibility, region weights and health checks obey them. When all targets that a request may use are leaving or paused, it is refused on arrival or when the last of them says so, with a Retry-After from the end of the first pause.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -54,9 +54,10 @@
                  { { "fingerprint", suspect.fingerprint }, { "crashes", suspect.crashes } });
         m_suspectBroadcaster(suspect);
     })
+    , m_noticeReader(loop, m_settings.names, metrics)
     , m_dispatcher(*this, m_targets, m_settings.locality)
     , m_healthChecker(
-          loop, m_settings.names, m_targets,
+          loop, m_settings.names, m_targets, m_noticeReader,
           [this](const ServiceId &service) {
               m_dispatcher.capacityChanged(service);
           },
@@ -228,7 +229,9 @@
 {
     GatewayTarget &target = attempt.target();
     target.noteAnswered();
-    m_dispatcher.noteAnswer(request, attempt);
+    if (!TargetNoticeReader::isTurnedAway(attempt.answer())) {
+        m_dispatcher.noteAnswer(request, attempt);
+    }
     if (attempt.rateLimit() || !attempt.namesRateLimit()) {
         m_dispatcher.noteRateLimit(target, attempt.rateLimit());
     }
@@ -248,7 +251,8 @@
     GatewayTarget &target = attempt.target();
     const TimePoint now = m_loop.now();
     bool causesEjection = false;
-    if (failure.verdict != Verdict::NotRun && !failure.isStaleConnection) {
+    const bool isTargetsFault = failure.kind != AttemptFailure::Kind::Shed && !failure.isStaleConnection;
+    if (failure.verdict != Verdict::NotRun && isTargetsFault) {
         target.quality().noteFailure(now);
     }
     if (attempt.rateLimit()) {
@@ -357,6 +361,7 @@
 void Gateway::housekeep()
 {
     m_targets.closeIdle();
+    m_noticeReader.logEnds();
     m_crashMonitor.expire(m_loop.now());
     m_housekeeping.start(Deadline::after(m_loop.now(), housekeepingInterval));
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibGateway/HealthChecker.h>
 #include <LibGateway/QuotaWaiters.h>
 #include <LibGateway/RequestDispatcher.h>
+#include <LibGateway/TargetNoticeReader.h>
 #include <LibNet/HttpListener.h>
 #include <LibSteering/CustomerQuotas.h>
 #include <LibSteering/RulesHistory.h>
@@ -96,6 +97,10 @@
     {
         return m_split;
     }
+    TargetNoticeReader &noticeReader()
+    {
+        return m_noticeReader;
+    }
     RequestDispatcher &dispatcher()
     {
         return m_dispatcher;
@@ -148,6 +153,7 @@
     QuotaWaiters m_quotaWaiters;
     CrashMonitor m_crashMonitor;
     std::function<void(const CrashSuspect &)> m_suspectBroadcaster { [](const CrashSuspect &) {} };
+    TargetNoticeReader m_noticeReader;
     RequestDispatcher m_dispatcher;
     HealthChecker m_healthChecker;
     std::unique_ptr<HttpListener> m_listener;
--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -164,6 +164,11 @@
     }
 }
 
+void GatewayRequest::attemptHeadArrived(RequestAttempt &attempt)
+{
+    m_gateway.noticeReader().read(attempt.target(), attempt.targetStartedAtMilliseconds(), attempt.answer(), "request");
+}
+
 bool GatewayRequest::attemptAnswered(RequestAttempt &attempt)
 {
     const bool isServerError = attempt.answer().status >= firstServerError;
@@ -246,6 +251,9 @@
     const RefPointer<GatewayRequest> self(this);
     AttemptFailure failure;
     failure.detail = "status " + std::to_string(attempt.answer().status);
+    if (TargetNoticeReader::isTurnedAway(attempt.answer())) {
+        failure.kind = AttemptFailure::Kind::Shed;
+    }
     if (!m_route->isIdempotent || m_isCallerGone || !maySendAgain(failure)) {
         return false;
     }
--- a/Libraries/LibGateway/GatewayRequest.h
+++ b/Libraries/LibGateway/GatewayRequest.h
@@ -108,6 +108,7 @@
     bool isBodyReady() const;
     void submit();
 
+    void attemptHeadArrived(RequestAttempt &attempt) override;
     bool attemptAnswered(RequestAttempt &attempt) override;
     void attemptBody(RequestAttempt &attempt, std::string_view bytes) override;
     void attemptFinished(RequestAttempt &attempt) override;
--- a/Libraries/LibGateway/GatewayTarget.cpp
+++ b/Libraries/LibGateway/GatewayTarget.cpp
@@ -20,12 +20,13 @@
 } // namespace
 
 GatewayTarget::GatewayTarget(EventLoop &loop, const WireNames &names, TargetListEntry entry, Locality locality,
-                             TargetsToCheck &toCheck)
+                             RefPointer<TargetNotices> notices, TargetsToCheck &toCheck)
     : m_loop(loop)
     , m_names(names)
     , m_entry(std::move(entry))
     , m_hash(stableHash(m_entry.id.text()))
     , m_locality(std::move(locality))
+    , m_notices(std::move(notices))
     , m_toCheck(toCheck)
     , m_address(m_entry.address)
     , m_load(m_entry.slots)
@@ -50,6 +51,7 @@
         m_load.setSlots(entry.slots);
     }
     m_entry = entry;
+    m_notices->setStart(entry.startedAtMilliseconds);
     m_isRemoved = false;
     // The list may be older than the last health check.
     m_coldUntil = std::max(m_coldUntil, entry.coldUntil);
@@ -58,6 +60,15 @@
     }
 }
 
+bool GatewayTarget::noteLeaving(std::int64_t startedAtMilliseconds)
+{
+    const bool isNews = m_notices->noteLeaving(startedAtMilliseconds);
+    if (isNews) {
+        closeIdle(true);
+    }
+    return isNews;
+}
+
 void GatewayTarget::noteCheckPassed(TimePoint coldUntil)
 {
     const bool wasUnverified = m_isUnverified;
@@ -150,7 +161,7 @@
     std::erase_if(m_idle, [&](const RefPointer<TargetSession> &session) {
         const bool isOld =
             now - session->idleSince() > longestIdleTime || session->idleEnd().remaining(now) < idleMargin;
-        if (isAll || isOld || !session->isReusable()) {
+        if (isAll || isOld || m_notices->isLeaving() || !session->isReusable()) {
             session->abandon();
             return true;
         }
--- a/Libraries/LibGateway/GatewayTarget.h
+++ b/Libraries/LibGateway/GatewayTarget.h
@@ -6,6 +6,7 @@
 #include <LibSteering/RecentObjects.h>
 #include <LibSteering/TargetListEntry.h>
 #include <LibSteering/TargetLoad.h>
+#include <LibSteering/TargetNotices.h>
 #include <LibSteering/TargetQuality.h>
 #include <LibSteering/TargetRateLimit.h>
 
@@ -25,7 +26,7 @@
 public:
     /// Adds itself to `toCheck`, which must outlive it, when a health check becomes necessary.
     GatewayTarget(EventLoop &loop, const WireNames &names, TargetListEntry entry, Locality locality,
-                  TargetsToCheck &toCheck);
+                  RefPointer<TargetNotices> notices, TargetsToCheck &toCheck);
 
     const TargetListEntry &entry() const
     {
@@ -48,11 +49,23 @@
     void update(const TargetListEntry &entry);
     /// The target was removed from the list and gets no more requests.
     void setRemoved();
-    /// Whether it is listed and not draining, so that it takes new requests as far as the list says.
+    /// Whether it is listed, not draining and has not said that it is leaving.
     bool isInService() const
     {
-        return !m_isRemoved && !m_entry.isDraining;
+        return !m_isRemoved && !m_entry.isDraining && !m_notices->isLeaving();
     }
+    /// What it has told this VM about its use.
+    TargetNotices &notices()
+    {
+        return *m_notices;
+    }
+    const RefPointer<TargetNotices> &sharedNotices() const
+    {
+        return m_notices;
+    }
+    /// The incarnation that was started at the given Unix time has said that it is leaving. Returns whether that is
+    /// news.
+    bool noteLeaving(std::int64_t startedAtMilliseconds);
 
     /// Whether its caches are empty, as far as the list and the last health check say. An unverified target counts as
     /// cold.
@@ -139,7 +152,7 @@
     [[nodiscard]] Result<RefPointer<TargetSession>> acquire(TimePoint usedSince);
     /// Keeps a connection for later requests, or closes it if it can't be used again or enough are idle.
     void release(const RefPointer<TargetSession> &session);
-    /// Closes idle connections that the target may close soon, or all of them.
+    /// Closes idle connections that the target may close soon, or all of them. Closes all if the target is leaving.
     void closeIdle(bool isAll);
 
 private:
@@ -150,6 +163,7 @@
     TargetListEntry m_entry;
     std::uint64_t m_hash;
     Locality m_locality;
+    RefPointer<TargetNotices> m_notices;
     TargetsToCheck &m_toCheck;
     Poco::Net::SocketAddress m_address;
     TargetLoad m_load;
--- a/Libraries/LibGateway/HealthChecker.cpp
+++ b/Libraries/LibGateway/HealthChecker.cpp
@@ -24,7 +24,10 @@
 {
 public:
     Check(HealthChecker &checker, RefPointer<GatewayTarget> target)
-        : m_checker(checker), m_target(std::move(target)), m_timer(checker.m_loop, [this] {
+        : m_checker(checker)
+        , m_target(std::move(target))
+        , m_targetStartedAtMilliseconds(m_target->entry().startedAtMilliseconds)
+        , m_timer(checker.m_loop, [this] {
             fail();
         })
     {
@@ -55,6 +58,7 @@
     void answerStarted(const HttpHead &head) override
     {
         m_head = head;
+        m_checker.takeHead(*m_target, m_targetStartedAtMilliseconds, head);
     }
     void answerBody(std::string_view bytes) override
     {
@@ -94,6 +98,7 @@
 
     HealthChecker &m_checker;
     RefPointer<GatewayTarget> m_target;
+    std::int64_t m_targetStartedAtMilliseconds;
     RefPointer<TargetSession> m_session;
     Timer m_timer;
     HttpHead m_head;
@@ -101,11 +106,12 @@
 };
 
 HealthChecker::HealthChecker(EventLoop &loop, const WireNames &names, TargetRegistry &targets,
-                             std::function<void(const ServiceId &)> onChecked,
+                             TargetNoticeReader &noticeReader, std::function<void(const ServiceId &)> onChecked,
                              std::function<void(const TargetId &)> onDied)
     : m_loop(loop)
     , m_names(names)
     , m_targets(targets)
+    , m_noticeReader(noticeReader)
     , m_onChecked(std::move(onChecked))
     , m_onDied(std::move(onDied))
     , m_timer(loop, [this] {
@@ -141,7 +147,7 @@
 {
     const bool isTime = !target.failures().isEjected() || target.failures().nextCheckAt().hasPassed(m_loop.now());
     return target.needsCheck() && isTime && target.nextCheckAt().hasPassed(m_loop.now()) && m_targets.takesWork(target)
-        && !m_checks.contains(target.id());
+        && !target.notices().isPaused(m_loop.now()) && !m_checks.contains(target.id());
 }
 
 void HealthChecker::begin(const RefPointer<GatewayTarget> &target)
@@ -155,17 +161,29 @@
     check->start(service->healthPath);
 }
 
+bool HealthChecker::isFromOther(const GatewayTarget &target, const HttpHead &head) const
+{
+    return head.header(m_names.targetId).value_or(target.id().text()) != target.id().text();
+}
+
+void HealthChecker::takeHead(GatewayTarget &target, std::int64_t startedAtMilliseconds, const HttpHead &head)
+{
+    if (!isFromOther(target, head)) {
+        m_noticeReader.read(target, startedAtMilliseconds, head, "health-check");
+    }
+}
+
 void HealthChecker::takeAnswer(GatewayTarget &target, const HttpHead &head)
 {
     const TimePoint now = m_loop.now();
-    const bool isOtherTarget = head.header(m_names.targetId).value_or(target.id().text()) != target.id().text();
-    if (isOtherTarget) {
+    if (isFromOther(target, head)) {
         m_onDied(target.id());
         target.noteUnreachable(now);
         return;
     }
-    if (head.header(m_names.notRun)) {
-        // The target has no free slot, so it is alive; whether its caches are empty is still unknown.
+    if (head.header(m_names.notRun) || target.notices().isPaused(now) || target.notices().isLeaving()) {
+        // The target has no free slot or wants no requests, so it is alive; whether its caches are empty is still
+        // unknown.
         target.setNextCheckAt(Deadline::after(now, fullPause));
         return;
     }
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -50,6 +50,7 @@
     : m_loop(loop)
     , m_names(names)
     , m_target(std::move(target))
+    , m_targetStartedAtMilliseconds(m_target->entry().startedAtMilliseconds)
     , m_forecast(forecast)
     , m_owner(owner)
     , m_holdTimer(loop,
@@ -128,6 +129,7 @@
         m_load = readLoad(*load);
     }
     m_holdTimer.start(Deadline::after(m_loop.now(), longestHold));
+    m_owner.attemptHeadArrived(*this);
 }
 
 void RequestAttempt::answerBody(std::string_view bytes)
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -43,6 +43,8 @@
 public:
     virtual ~AttemptOwner() = default;
 
+    /// The head of the answer has arrived. Nothing is known yet about its body.
+    virtual void attemptHeadArrived(RequestAttempt &attempt) = 0;
     /// The answer is complete, or too large or slow to be held back until it is. The attempt holds its body so far.
     /// Returns whether the owner takes the answer; otherwise the attempt has ended, and the owner may be destroyed.
     [[nodiscard]] virtual bool attemptAnswered(RequestAttempt &attempt) = 0;
@@ -82,6 +84,11 @@
     {
         return *m_target;
     }
+    /// The Unix time at which the target had been started, as far as the list said when the attempt began.
+    std::int64_t targetStartedAtMilliseconds() const
+    {
+        return m_targetStartedAtMilliseconds;
+    }
     /// The head of the answer, once it has arrived.
     const HttpHead &answer() const
     {
@@ -156,6 +163,7 @@
     EventLoop &m_loop;
     const WireNames &m_names;
     RefPointer<GatewayTarget> m_target;
+    std::int64_t m_targetStartedAtMilliseconds;
     AttemptForecast m_forecast;
     AttemptOwner &m_owner;
     RefPointer<TargetSession> m_session;
--- a/Libraries/LibGateway/RequestDispatcher.cpp
+++ b/Libraries/LibGateway/RequestDispatcher.cpp
@@ -81,11 +81,50 @@
     }
     if (maySend(request, choice)) {
         send(request, choice);
+    } else if (const std::optional<Deadline> opensAt = choice.target ? std::nullopt : closedUntil(request)) {
+        refuseUntil(request, *opensAt);
     } else {
         enqueue(request);
     }
 }
 
+bool RequestDispatcher::hasNotices(const ServiceId &service) const
+{
+    const std::vector<RegionTargets> &regions = m_targets.regionsOf(service);
+    return std::any_of(regions.begin(), regions.end(), [this](const RegionTargets &region) {
+        return std::any_of(region.targets.begin(), region.targets.end(), [this](const auto &target) {
+            return target->notices().isLeaving() || target->notices().isPaused(m_loop.now());
+        });
+    });
+}
+
+std::optional<Deadline> RequestDispatcher::closedUntil(const GatewayRequest &request) const
+{
+    std::optional<Deadline> opensAt;
+    for (const RegionTargets &region : m_targets.regionsOf(request.service())) {
+        if (!request.mayRunIn(region.region)) {
+            continue;
+        }
+        for (const RefPointer<GatewayTarget> &target : region.targets) {
+            if (target->notices().isLeaving()) {
+                opensAt = opensAt.value_or(Deadline::never());
+            } else if (m_targets.takesWork(*target) && target->notices().isPaused(m_loop.now())) {
+                opensAt = opensAt.value_or(Deadline::never()).earlier(target->notices().pausedUntil());
+            } else if (m_targets.takesWork(*target) && !request.hasTried(target->id())) {
+                return std::nullopt;
+            }
+        }
+    }
+    return opensAt;
+}
+
+void RequestDispatcher::refuseUntil(GatewayRequest &request, Deadline opensAt)
+{
+    const Deadline retryAt = RequestQueueing::retryFrom(request.times(), opensAt, m_random.unit(), m_loop.now());
+    request.refuse(RefusalReason::NoCapacity, request.verdict(), "all targets are leaving or have asked for a pause",
+                   retryAt);
+}
+
 AnswerForecast RequestDispatcher::forecastOf(const GatewayRequest &request, const Choice &choice) const
 {
     return { choice.forecast.time, choice.forecast.hasFreeSlot, m_processingTimes.isKnown(request.route()) };
@@ -112,8 +151,9 @@
 bool RequestDispatcher::isEligible(GatewayTarget &target, const GatewayRequest &request) const
 {
     const TimePoint now = m_loop.now();
-    return m_targets.takesWork(target) && target.mayTakeRequest() && !request.hasTried(target.id())
-        && (!target.isCold(now) || target.coldLimiter().maySend(now)) && target.rateLimit().maySend(now);
+    return m_targets.takesWork(target) && !target.notices().isPaused(now) && target.mayTakeRequest()
+        && !request.hasTried(target.id()) && (!target.isCold(now) || target.coldLimiter().maySend(now))
+        && target.rateLimit().maySend(now);
 }
 
 RequestDispatcher::Regions RequestDispatcher::openRegions(const GatewayRequest &request)
@@ -302,7 +342,13 @@
 {
     const TimePoint now = m_loop.now();
     const Queue waiting = serviceOf(service).waiting;
+    const bool mayBeClosed = hasNotices(service);
     for (const RefPointer<GatewayRequest> &request : waiting) {
+        if (const std::optional<Deadline> opensAt = mayBeClosed ? closedUntil(*request) : std::nullopt) {
+            cancel(*request);
+            refuseUntil(*request, *opensAt);
+            continue;
+        }
         const Microseconds work = m_processingTimes.warm(request->route());
         if (RequestQueueing::mustStopWaiting(request->times(), work, now)) {
             cancel(*request);
@@ -348,7 +394,8 @@
                 share = share ? share : rateShare(id, region.region);
                 target->rateLimit().setShare(*share, now);
             }
-            if (m_targets.takesWork(*target) && !target->failures().isEjected()) {
+            const bool isUsable = !target->failures().isEjected() && !target->notices().isPaused(now);
+            if (m_targets.takesWork(*target) && isUsable) {
                 regions[region.region].slots += target->load().slots() * (target->isCold(now) ? coldSlots : 1);
             }
         }
--- a/Libraries/LibGateway/RequestDispatcher.h
+++ b/Libraries/LibGateway/RequestDispatcher.h
@@ -103,6 +103,13 @@
     /// Returns the position at which it stopped; 0 at the end of the queue.
     std::size_t serve(const Service &service, std::size_t first, std::size_t mostMisses);
     void serveAll();
+    /// Whether a target of the service has said that it is leaving or wants no requests now.
+    bool hasNotices(const ServiceId &service) const;
+    /// If no target takes the request because all that could have asked for a pause or are leaving: when the first one
+    /// takes requests again, or never.
+    std::optional<Deadline> closedUntil(const GatewayRequest &request) const;
+    /// Refuses the request, which no target takes before the given time.
+    void refuseUntil(GatewayRequest &request, Deadline opensAt);
     void refuseHopeless(const ServiceId &service);
     void adjustWeights();
     void adjustWeightsOf(const ServiceId &id, Service &service);
--- a/Libraries/LibGateway/TargetRegistry.cpp
+++ b/Libraries/LibGateway/TargetRegistry.cpp
@@ -39,7 +39,9 @@
     if (region != m_regionsByZone.end()) {
         locality.region = region->second;
     }
-    const RefPointer<GatewayTarget> target = makeRefCounted<GatewayTarget>(m_loop, m_names, entry, locality, m_toCheck);
+    const RefPointer<TargetNotices> notices = m_unlistedNotices.take(entry.id, entry.startedAtMilliseconds);
+    const RefPointer<GatewayTarget> target =
+        makeRefCounted<GatewayTarget>(m_loop, m_names, entry, locality, notices, m_toCheck);
     m_targets.emplace(entry.id, target);
     groupOf(*target).push_back(target);
     configureCold(*target);
@@ -49,6 +51,7 @@
                { "zone", entry.availabilityZone },
                { "address", entry.address },
                { "draining", entry.isDraining },
+               { "leaving", notices->isLeaving() },
                { "coldMilliseconds",
                  std::chrono::duration_cast<Milliseconds>(Deadline(entry.coldUntil).remaining(m_loop.now())).count() },
                { "sequence", entry.sequence } });
@@ -62,6 +65,7 @@
                  { { "target", entry.id },
                    { "draining", entry.isDraining },
                    { "restarted", isRestarted },
+                   { "wasLeaving", target.notices().isLeaving() },
                    { "address", entry.address },
                    { "sequence", entry.sequence } });
     }
@@ -76,6 +80,7 @@
     }
     const RefPointer<GatewayTarget> target = found->second;
     target->setRemoved();
+    m_unlistedNotices.keep(id, target->sharedNotices());
     m_toCheck.erase(target);
     std::erase(groupOf(*target), target);
     m_targets.erase(found);
--- a/Libraries/LibGateway/TargetRegistry.h
+++ b/Libraries/LibGateway/TargetRegistry.h
@@ -71,6 +71,7 @@
     std::map<AvailabilityZoneId, RegionId> m_regionsByZone;
     TargetsToCheck m_toCheck;
     std::unordered_map<TargetId, RefPointer<GatewayTarget>> m_targets;
+    UnlistedTargetNotices m_unlistedNotices;
     std::unordered_map<ServiceId, std::vector<RegionTargets>> m_groups;
     std::set<AvailabilityZoneId> m_evacuated;
     VmsByRegion m_vms;
--- a/Libraries/LibSteering/RequestQueueing.cpp
+++ b/Libraries/LibSteering/RequestQueueing.cpp
@@ -17,6 +17,14 @@
 constexpr double leastRetrySpread = 0.5;
 // The time left counts as at most this many timeouts of the route.
 constexpr int mostTimeouts = 2;
+constexpr Milliseconds leastReturnTime { 200 };
+
+/// Returns for how long a refused caller may wait before it retries.
+Microseconds longestRetryWait(const RequestTimes &times, TimePoint now)
+{
+    const Microseconds left = std::min<Microseconds>(times.callerDeadline.remaining(now), times.timeout * mostTimeouts);
+    return scaled(left, retryFraction);
+}
 
 } // namespace
 
@@ -49,9 +57,20 @@
 
 Deadline RequestQueueing::retryAt(const RequestTimes &times, double random, TimePoint now)
 {
-    const Microseconds left = std::min<Microseconds>(times.callerDeadline.remaining(now), times.timeout * mostTimeouts);
     const double spread = leastRetrySpread + (1 - leastRetrySpread) * random;
-    return Deadline::after(now, scaled(left, retryFraction * spread));
+    return Deadline::after(now, scaled(longestRetryWait(times, now), spread));
+}
+
+Deadline RequestQueueing::retryFrom(const RequestTimes &times, Deadline opensAt, double random, TimePoint now)
+{
+    const Microseconds longest = longestRetryWait(times, now);
+    const Microseconds closed = opensAt.remaining(now);
+    if (closed >= longest) {
+        return retryAt(times, random, now);
+    }
+    // Those who are refused in a pause come back over about as long a time, so at about the rate at which they came.
+    const Microseconds spread = std::min(longest - closed, std::max<Microseconds>(closed, leastReturnTime));
+    return Deadline::after(now, closed + scaled(spread, random));
 }
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/RequestQueueing.h
+++ b/Libraries/LibSteering/RequestQueueing.h
@@ -40,6 +40,9 @@
     /// When a refused caller should retry: early enough to be served, and spread by a random number in [0, 1) so that
     /// the callers don't retry together.
     static Deadline retryAt(const RequestTimes &times, double random, TimePoint now);
+    /// When a caller should retry that is refused because no target takes its request before `opensAt`: from then on,
+    /// spread by a random number in [0, 1). As retryAt() if the caller can't wait so long.
+    static Deadline retryFrom(const RequestTimes &times, Deadline opensAt, double random, TimePoint now);
 };
 
 } // namespace Sapphire
--- a/Tests/LibSteering/TestRequestQueueing.cpp
+++ b/Tests/LibSteering/TestRequestQueueing.cpp
@@ -79,3 +79,21 @@
     patient.callerDeadline = Deadline::after(start, Milliseconds(60'000));
     CHECK(RequestQueueing::retryAt(patient, 1, now).remaining(now) <= Milliseconds(660));
 }
+
+TEST_CASE("Callers that are refused in a pause come back after its end, spread over about its length")
+{
+    // Guards against callers that come back in the pause, all at its end, or when their time is over.
+    RequestTimes times;
+    times.callerDeadline = Deadline::never();
+    times.timeout = Milliseconds(3'000);
+    const TimePoint now { std::chrono::seconds(100) };
+    const auto waitFor = [&](Microseconds pause, double random) {
+        return RequestQueueing::retryFrom(times, Deadline::after(now, pause), random, now).remaining(now);
+    };
+    CHECK(waitFor(Milliseconds(800), 0) == Milliseconds(800));
+    CHECK(waitFor(Milliseconds(800), 0.5) == Milliseconds(1'200));
+    CHECK(waitFor(Milliseconds(10), 0.5) == Milliseconds(110));
+    CHECK(waitFor(Milliseconds(1'900), 0.99) <= Milliseconds(1'980));
+    CHECK(waitFor(Milliseconds(60'000), 0.99) <= Milliseconds(1'980));
+    CHECK(waitFor(Milliseconds(60'000), 0) == Milliseconds(990));
+}
