platform: An empty list of customers accepts no key

ServingRules asked for a key only if it had customers, so that a version whose list was empty, after the last customer had been taken away, opened every route to everyone. Change: the list itself asks for keys, be it empty. A list in which no entry can be read still refuses for now (503), a configuration without the list asks for none. hasCustomers() is areKeysRequired() now. Ruled out: that an empty list means open.

--- a/Libraries/LibGateway/GatewayRequestAdmission.cpp
+++ b/Libraries/LibGateway/GatewayRequestAdmission.cpp
@@ -48,7 +48,7 @@
 
 bool GatewayRequest::checkCustomer()
 {
-    if (!m_rules->hasCustomers()) {
+    if (!m_rules->areKeysRequired()) {
         return true;
     }
     m_customer = m_caller.key.empty() ? nullptr : m_rules->findCustomer(m_caller.key);
--- a/Libraries/LibSteering/ServingRules.h
+++ b/Libraries/LibSteering/ServingRules.h
@@ -87,6 +87,7 @@
         ConfigurationVersion version;
         std::vector<Route> routes;
         std::vector<ServiceRules> services;
+        bool hasCustomerList { false }; ///< Whether the configuration has a list of customers, be it empty.
         std::vector<CustomerRules> customers;
         CallerLimits limits;
         std::vector<UnreadableRoute> unreadableRoutes;
@@ -124,10 +125,11 @@
     {
         return m_content.unreadableRoutes.size() + m_content.unreadableCustomers;
     }
-    /// Returns whether there are any customers; without customers, no request needs a key.
-    bool hasCustomers() const
+    /// Returns whether the configuration has a list of customers, so that requests need a key. An empty one accepts no
+    /// key.
+    bool areKeysRequired() const
     {
-        return !m_content.customers.empty() || areKeysUncertain();
+        return m_content.hasCustomerList || !m_content.customers.empty() || areKeysUncertain();
     }
     /// Whether an unknown key may belong to a customer that could not be read.
     bool areKeysUncertain() const
--- a/Tests/LibGateway/TestDenials.cpp
+++ b/Tests/LibGateway/TestDenials.cpp
@@ -106,6 +106,28 @@
     CHECK(fixture.call("GET", "/other/a", unknownKey).status == 404);
 }
 
+TEST_CASE("No key is accepted once the last one was taken away")
+{
+    // Guards against requests that run for everyone because the list of customers is empty.
+    ServingRules::Content content;
+    content.version = ConfigurationVersion(9);
+    content.hasCustomerList = true;
+    Route route;
+    route.host = "h.example";
+    route.pathPrefix = "/keyed/";
+    route.timeout = Milliseconds(1'000);
+    route.services = { { ServiceId("s"), 1 } };
+    content.routes = { route };
+    GatewayFixture fixture;
+    fixture.applyRules();
+    fixture.run([&] {
+        fixture.gateway().applyRules(RefPointer<const ServingRules>(new ServingRules(content)));
+    });
+    CHECK(fixture.call("GET", "/keyed/a", unknownKey).status == 401);
+    CHECK(fixture.call("GET", "/keyed/a", "Authorization: Bearer secret\r\n").status == 401);
+    CHECK(fixture.call("GET", "/keyed/a").status == 401);
+}
+
 TEST_CASE("A request that keeps exactly to the limits is not refused as wrong")
 {
     // Guards against a limit that counts framing as body, or the pieces in which a head arrives.
--- a/Tests/Platform/TestRulesFormat.cpp
+++ b/Tests/Platform/TestRulesFormat.cpp
@@ -96,7 +96,7 @@
         CAPTURE(tenant);
         const RefPointer<const ServingRules> read =
             readWith(R"({"name":"t1","api_keys":["k1","k2"],"priority":1,"rate_per_s":254,"burst":25})", tenant);
-        CHECK(read->hasCustomers());
+        CHECK(read->areKeysRequired());
         CHECK(read->findCustomer("k1") == nullptr);
         CHECK(read->areKeysUncertain());
     }
@@ -107,6 +107,24 @@
     CHECK(readWith("\"max_body_bytes\":1000", "\"max_body_bytes\":-1")->limits().areSizesUnreadable);
 }
 
+TEST_CASE("An empty list of customers asks for a key, and no list doesn't")
+{
+    // Guards against services that the removal of the last key opens to everyone.
+    const auto readWith = [](const std::string &tenants) {
+        const Outcome<RefPointer<const ServingRules>> rules = capture([&] {
+            return Platform::readRules(R"({"version":"0000000c","routes":[],"services":[])" + tenants + "}");
+        });
+        REQUIRE(rules);
+        return rules.value();
+    };
+    CHECK(!readWith("")->areKeysRequired());
+    CHECK(readWith(R"(,"tenants":[])")->areKeysRequired());
+    CHECK(!readWith(R"(,"tenants":[])")->areKeysUncertain());
+    // A list without a readable entry asks for a key, but can't tell which keys are wrong.
+    CHECK(readWith(R"(,"tenants":[7])")->areKeysRequired());
+    CHECK(readWith(R"(,"tenants":[7])")->areKeysUncertain());
+}
+
 TEST_CASE("A route or customer whose regions can't be read is not allowed everywhere")
 {
     // Guards against requests that leave the regions to which the operator has bound them.
