--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -358,3 +358,27 @@
     }
     CHECK(misdirectedRequests <= 2);
 }
+
+TEST_CASE("An order with a long body whose caller has left reaches no target")
+{
+    // Guards against orders that nobody asks for any more, and that run because the rest of their body wasn't read.
+    std::atomic<int> requests { 0 };
+    ScriptedTarget target(answering([&](const std::string &) {
+        ++requests;
+        return soundAnswer("booked");
+    }));
+    GatewayFixture fixture;
+    fixture.applyRules(Milliseconds(4'000));
+    {
+        Poco::Net::StreamSocket socket = fixture.connect();
+        const std::string body(100'000, 'b');
+        GatewayFixture::send(socket,
+                             "POST /book/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: "
+                                 + std::to_string(body.size()) + "\r\n\r\n" + body);
+        std::this_thread::sleep_for(Milliseconds(100));
+    }
+    std::this_thread::sleep_for(Milliseconds(100));
+    fixture.applyTargets({ GatewayFixture::targetEntry("t1", target.address()) });
+    std::this_thread::sleep_for(Milliseconds(200));
+    CHECK(requests == 0);
+}
--- a/Tests/LibNet/TestHttpServerConnection.cpp
+++ b/Tests/LibNet/TestHttpServerConnection.cpp
@@ -80,6 +80,10 @@
         m_listener.reset();
     }
 
+    Poco::Net::SocketAddress address() const
+    {
+        return m_listener->address();
+    }
     Poco::Net::StreamSocket connect() const
     {
         Poco::Net::StreamSocket socket(m_listener->address());
@@ -140,6 +144,34 @@
     return received;
 }
 
+// More than the kernel takes over from a sender whose peer doesn't read.
+constexpr std::size_t largeAnswer = 16'000'000;
+
+Poco::Net::StreamSocket connectWithSmallWindow(const Server &server)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress::IPv4);
+    socket.setReceiveBufferSize(4'096);
+    socket.connect(server.address());
+    socket.setReceiveTimeout(Poco::Timespan(3, 0));
+    return socket;
+}
+
+/// Reads until the server closes the connection, or sends nothing for a second, and returns the number of bytes.
+std::size_t receivedBytes(Poco::Net::StreamSocket &socket)
+{
+    socket.setReceiveTimeout(Poco::Timespan(1, 0));
+    std::vector<char> buffer(65'536);
+    std::size_t bytes = 0;
+    try {
+        for (int count = 1; count > 0; bytes += static_cast<std::size_t>(count)) {
+            count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        }
+    } catch (const Poco::Exception &) {
+        return bytes;
+    }
+    return bytes;
+}
+
 void answerOk(HttpServerConnection &connection, const HttpHead &head)
 {
     connection.answer({ 200, {}, {}, {} }, "answer to " + head.target + ".");
@@ -286,3 +318,46 @@
     send(socket, "xy");
     CHECK(receiveUntil(socket, "answer to /a.").starts_with("HTTP/1.1 200 "));
 }
+
+TEST_CASE("HttpServerConnection lets a caller read the last answer to its end, however long it takes to begin")
+{
+    // Guards against answers that are cut a second after their end was handed over, while a slow caller still reads.
+    const std::string body(largeAnswer, 'a');
+    Server server([&body](HttpServerConnection &connection, const HttpHead &) {
+        connection.answer({ 200, {}, {}, {} }, body);
+    });
+    Poco::Net::StreamSocket socket = connectWithSmallWindow(server);
+    send(socket, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(1'500));
+    CHECK(receivedBytes(socket) > largeAnswer);
+}
+
+TEST_CASE("HttpServerConnection doesn't count the time to read an answer as idle")
+{
+    // Guards against a kept connection that is closed while its caller still reads.
+    const std::string body(largeAnswer, 'a');
+    Server server([&body](HttpServerConnection &connection, const HttpHead &) {
+        connection.answer({ 200, {}, {}, {} }, body);
+    });
+    server.serverLimits.idleTimeout = Milliseconds(200);
+    Poco::Net::StreamSocket socket = connectWithSmallWindow(server);
+    send(socket, "GET / HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(600));
+    CHECK(receivedBytes(socket) > largeAnswer);
+}
+
+TEST_CASE("HttpServerConnection notices that the caller has left while its body is not read")
+{
+    // Guards against work for a caller who has gone, for as long as reading from it is paused.
+    Server server([](HttpServerConnection &connection, const HttpHead &) {
+        connection.setReading(false);
+    });
+    {
+        Poco::Net::StreamSocket socket = server.connect();
+        send(socket, "POST /early HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
+        std::this_thread::sleep_for(Milliseconds(50));
+        send(socket, std::string(50'000, 'b'));
+    }
+    std::this_thread::sleep_for(Milliseconds(100));
+    CHECK(server.stop().back() == "gone");
+}
