LibNet: Notice that a caller has left while its body is not read

The gateway stops reading a body of more than 64 KiB until there is a target, and the event loop asked for no event of a connection that isn't read, so that the close behind the rest of the body was seen only after the order had gone to a target; a complete order runs on then. Change: connections of callers ask for the peer's close (EPOLLRDHUP) also while reading is paused, and end with it. Connections to targets don't: their answers are read to the end. A half-close counts as a close, as it did for callers that are read from; TCP tells the two apart only once something is sent.

--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -27,6 +27,9 @@
     if (interest.wantsWrite) {
         events |= EPOLLOUT;
     }
+    if (interest.wantsPeerClose) {
+        events |= EPOLLRDHUP;
+    }
     return events;
 }
 
--- a/Libraries/LibNet/EventLoop.h
+++ b/Libraries/LibNet/EventLoop.h
@@ -37,6 +37,7 @@
 {
     bool wantsRead { true };
     bool wantsWrite { false };
+    bool wantsPeerClose { false }; ///< Reported also while the descriptor is not read.
 
     friend bool operator==(const DescriptorInterest &, const DescriptorInterest &) = default;
 };
--- a/Libraries/LibNet/HttpServerConnection.cpp
+++ b/Libraries/LibNet/HttpServerConnection.cpp
@@ -14,8 +14,9 @@
 // How long the connection stays open after the last answer, for the caller to read it. Closing at once could reset the
 // connection while the answer is still in transit.
 constexpr Milliseconds lingerTime { 1'000 };
-// Detects callers that vanish without closing the connection, after about three seconds.
-constexpr LivenessSettings callerLiveness { Milliseconds(0), std::chrono::seconds(2) };
+// Detects callers that vanish without closing the connection, after about three seconds. A caller that closes its side
+// has left: nothing tells a close from a half-close before something is sent.
+constexpr LivenessSettings callerLiveness { Milliseconds(0), std::chrono::seconds(2), true };
 
 constexpr int statusBadRequest = 400;
 
--- a/Libraries/LibNet/StreamConnection.cpp
+++ b/Libraries/LibNet/StreamConnection.cpp
@@ -62,6 +62,7 @@
 
 void StreamConnection::applyLiveness(const LivenessSettings &liveness)
 {
+    m_failsOnCloseWhilePaused = liveness.failsOnCloseWhilePaused;
     try {
         m_socket.setBlocking(false);
         m_socket.setNoDelay(true);
@@ -234,6 +235,7 @@
     DescriptorInterest interest;
     interest.wantsRead = m_isReading && !m_hasPeerClosed && !m_isConnecting;
     interest.wantsWrite = m_isConnecting || pendingOutput() > 0;
+    interest.wantsPeerClose = m_failsOnCloseWhilePaused && !m_hasPeerClosed;
     m_loop.watch(m_descriptor, interest, *this);
 }
 
--- a/Libraries/LibNet/StreamConnection.h
+++ b/Libraries/LibNet/StreamConnection.h
@@ -35,6 +35,9 @@
     Milliseconds unacknowledgedLimit { 0 };
     /// A connection on which nothing arrives for this long is probed once a second and fails after two lost probes.
     std::chrono::seconds probeAfter { 0 };
+    /// Whether the connection fails as soon as the peer closes its side while reading is paused. What the peer has sent
+    /// before is not read any more.
+    bool failsOnCloseWhilePaused { false };
 };
 
 /// A non-blocking TCP connection. Output that the kernel doesn't accept at once is buffered and sent later.
@@ -62,7 +65,8 @@
     {
         return m_hasSent;
     }
-    /// Stops or resumes reading. That the peer closes its side is noticed only while reading.
+    /// Stops or resumes reading. That the peer closes its side is noticed only while reading, unless
+    /// LivenessSettings::failsOnCloseWhilePaused is set.
     void setReading(bool isReading);
     /// Sends pending output, then shuts down the sending side.
     void finishOutput();
@@ -95,6 +99,7 @@
     bool m_isConnecting { false };
     bool m_isReading { true };
     bool m_hasPeerClosed { false };
+    bool m_failsOnCloseWhilePaused { false };
     bool m_hasSent { false };
     bool m_isFinishing { false };
 };
