LibNet: Give a caller its time to read the end of an answer

The second for which a connection stays open after its last answer, and the idle time between two answers, began when the answer's end was handed to the connection, not when the kernel had taken it over; up to 256 KiB that still waited were dropped then. Change: both begin when no output is pending. Answers without a request's deadline have 10 s.

--- a/Libraries/LibGateway/GatewayRequest.cpp
+++ b/Libraries/LibGateway/GatewayRequest.cpp
@@ -213,7 +213,7 @@
     HttpServerConnection *const connection = m_connection;
     end();
     if (connection != nullptr) {
-        connection->finishAnswer();
+        connection->finishAnswer(Deadline::after(m_giveUpAt.at(), lateAnswerTime));
     }
 }
 
--- a/Libraries/LibNet/HttpServerConnection.cpp
+++ b/Libraries/LibNet/HttpServerConnection.cpp
@@ -11,9 +11,11 @@
 
 // While a request is in progress, reading pauses once this many bytes of later requests are buffered.
 constexpr std::size_t mostWaitingInput = 65'536;
-// How long the connection stays open after the last answer, for the caller to read it. Closing at once could reset the
-// connection while the answer is still in transit.
+// How long the connection stays open after the kernel has taken over the last answer, for the caller to read it.
+// Closing at once could reset the connection while the answer is still in transit.
 constexpr Milliseconds lingerTime { 1'000 };
+// For answers whose request has no deadline of its own.
+constexpr Milliseconds answerReadTime { 10'000 };
 // Detects callers that vanish without closing the connection, after about three seconds. A caller that closes its side
 // has left: nothing tells a close from a half-close before something is sent.
 constexpr LivenessSettings callerLiveness { Milliseconds(0), std::chrono::seconds(2), true };
@@ -47,7 +49,7 @@
 {
     RefPointer<HttpServerConnection> connection(new HttpServerConnection(loop, factory, policy));
     connection->m_stream = StreamConnection::adopt(loop, socket, callerLiveness, *connection);
-    connection->m_timer.start(Deadline::after(loop.now(), policy.limits().idleTimeout));
+    connection->startTimer();
     return connection;
 }
 
@@ -84,6 +86,8 @@
     const RefPointer<HttpServerConnection> self(this);
     if (m_handler) {
         m_handler->outputDrained();
+    } else {
+        startTimer();
     }
 }
 
@@ -107,13 +111,16 @@
     if (m_input.empty() || m_parser.isComplete()) {
         return false;
     }
-    if (!m_parser.hasBegun()) {
+    const bool isHeadBeginning = !m_parser.hasBegun();
+    if (isHeadBeginning) {
         m_parser.setMostHeadBytes(m_policy.limits().headBytes);
-        m_timer.start(Deadline::after(m_loop.now(), m_policy.limits().headTimeout));
     }
     const Outcome<std::size_t> taken = capture([this] {
         return m_parser.feed(m_input);
     });
+    if (isHeadBeginning) {
+        startTimer();
+    }
     if (!taken) {
         requestFailed(taken.error());
         return false;
@@ -218,9 +225,10 @@
     }
 }
 
-void HttpServerConnection::finishAnswer()
+void HttpServerConnection::finishAnswer(Deadline readBy)
 {
     const RefPointer<HttpServerConnection> self(this);
+    m_answerReadBy = readBy;
     if (m_isChunked) {
         m_stream->send(lastChunk);
     }
@@ -247,7 +255,7 @@
     whole.bodyBytes = body.size();
     startAnswer(whole);
     writeBody(body);
-    finishAnswer();
+    finishAnswer(Deadline::after(m_loop.now(), answerReadTime));
 }
 
 bool HttpServerConnection::mayKeep() const
@@ -268,7 +276,22 @@
     m_isAnswerStarted = false;
     m_isAnswerFinished = false;
     setReading(true);
-    m_timer.start(Deadline::after(m_loop.now(), m_policy.limits().idleTimeout));
+    startTimer();
+}
+
+void HttpServerConnection::startTimer()
+{
+    if (pendingOutput() > 0) {
+        m_timer.start(m_answerReadBy);
+        return;
+    }
+    Milliseconds limit = m_policy.limits().idleTimeout;
+    if (m_isLingering) {
+        limit = lingerTime;
+    } else if (m_parser.hasBegun()) {
+        limit = m_policy.limits().headTimeout;
+    }
+    m_timer.start(Deadline::after(m_loop.now(), limit));
 }
 
 void HttpServerConnection::setReading(bool isReading)
@@ -286,7 +309,7 @@
     m_input.clear();
     setReading(true);
     m_stream->finishOutput();
-    m_timer.start(Deadline::after(m_loop.now(), lingerTime));
+    startTimer();
 }
 
 void HttpServerConnection::close()
@@ -302,6 +325,11 @@
 void HttpServerConnection::timeout()
 {
     const RefPointer<HttpServerConnection> self(this);
+    if (pendingOutput() > 0) {
+        logEvent(HttpServerEvents::answerNotRead, { { "pendingBytes", pendingOutput() } });
+        abortAnswer();
+        return;
+    }
     close();
 }
 
--- a/Libraries/LibNet/HttpServerConnection.h
+++ b/Libraries/LibNet/HttpServerConnection.h
@@ -19,11 +19,12 @@
     void startAnswer(const HttpAnswerHead &head);
     void writeBody(std::string_view bytes);
     /// Ends the answer. Also closes the connection if the request was not read completely or either side wants to
-    /// close.
-    void finishAnswer();
+    /// close. If the caller has not read so much of the answer by the deadline that the kernel can take the rest, the
+    /// connection is reset.
+    void finishAnswer(Deadline readBy);
     /// Resets the connection, so that the caller can't mistake a partial answer for a complete one.
     void abortAnswer();
-    /// Writes a complete answer.
+    /// Writes a complete answer, which the caller has some seconds to read.
     void answer(const HttpAnswerHead &head, std::string_view body);
 
     std::size_t pendingOutput() const
@@ -53,6 +54,8 @@
     void endRequest();
     void close();
     void closeAfterOutput();
+    /// Limits the time until the answer is read or, once the kernel has taken it over, until the caller's next bytes.
+    void startTimer();
     void timeout();
     bool mayKeep() const;
 
@@ -64,6 +67,7 @@
     std::string m_input; ///< Received, but not parsed yet.
     RefPointer<HttpRequestHandler> m_handler; ///< Of the request in progress.
     Timer m_timer;
+    Deadline m_answerReadBy; ///< When the connection is reset if output is still pending.
     bool m_isAnswerStarted { false };
     bool m_isAnswerFinished { false };
     bool m_isChunked { false };
--- a/Tests/LibNet/TestHttpServerConnection.cpp
+++ b/Tests/LibNet/TestHttpServerConnection.cpp
@@ -296,7 +296,7 @@
         connection.startAnswer({ 200, {}, {}, body.size() });
         *isLeaving = true;
         connection.writeBody(body);
-        connection.finishAnswer();
+        connection.finishAnswer(Deadline::never());
     });
     isLeaving = &server.isLeaving;
     Poco::Net::StreamSocket socket = server.connect();
@@ -346,6 +346,22 @@
     CHECK(receivedBytes(socket) > largeAnswer);
 }
 
+TEST_CASE("HttpServerConnection resets the connection of a caller that doesn't read its answer in time")
+{
+    // Guards against memory and connections that callers hold by not reading, and against a cut answer that looks
+    // whole.
+    const BootClock clock;
+    Server server([&clock](HttpServerConnection &connection, const HttpHead &) {
+        connection.startAnswer({ 200, {}, {}, largeAnswer });
+        connection.writeBody(std::string(largeAnswer, 'a'));
+        connection.finishAnswer(Deadline::after(clock.now(), Milliseconds(300)));
+    });
+    Poco::Net::StreamSocket socket = connectWithSmallWindow(server);
+    send(socket, "GET / HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(600));
+    CHECK(receivedBytes(socket) < largeAnswer);
+}
+
 TEST_CASE("HttpServerConnection notices that the caller has left while its body is not read")
 {
     // Guards against work for a caller who has gone, for as long as reading from it is paused.
