LibTarget: sapphired obeys a target's 503 with Retry-After

Cause: sapphired took such an answer for a full target (some milliseconds to half a second) or, without Sapphire-Shed, for a server error that counts towards its ejection as an outlier. Change: the selector keeps for each target the end of the pause that it asked for; selections, proven capacity and trials obey it. If all targets that take requests are paused, a request is refused on arrival, with a Retry-After from the end of the first pause on, spread over as long a time again.

--- a/Libraries/LibSteering/TargetSelector.cpp
+++ b/Libraries/LibSteering/TargetSelector.cpp
@@ -1,5 +1,6 @@
 #include <LibSteering/TargetSelector.h>
 
+#include <LibCore/Duration.h>
 #include <LibCore/Hash.h>
 
 #include <algorithm>
@@ -58,11 +59,16 @@
     std::vector<const Entry *> working;
     std::vector<const Entry *> down;
     std::vector<const Entry *> trials;
+    std::vector<const Entry *> paused;
     for (auto &[target, entry] : m_entries) {
         entry.state.advance(now);
         if (excluded.contains(target) || entry.state.isDraining()) {
             continue;
         }
+        if (!entry.pausedUntil.hasPassed(now)) {
+            paused.push_back(&entry);
+            continue;
+        }
         if (takesWork(entry, now)) {
             working.push_back(&entry);
             continue;
@@ -91,6 +97,9 @@
         return entry->state.inFlight() < share(*entry, now);
     });
     const Entry *chosen = lessLoaded(available, now, random);
+    if (chosen == nullptr && working.empty() && !paused.empty()) {
+        return allPaused(paused, now, random);
+    }
     if (chosen == nullptr) {
         return notSelected(working, down, now);
     }
@@ -193,6 +202,16 @@
     return selection;
 }
 
+Selection TargetSelector::allPaused(const std::vector<const Entry *> &paused, TimePoint now, RandomSource &random)
+{
+    Deadline first = Deadline::never();
+    for (const Entry *entry : paused) {
+        first = first.earlier(entry->pausedUntil);
+    }
+    const Microseconds wait = first.remaining(now);
+    return { SelectionEnd::AllPaused, {}, false, Deadline::after(now, wait + scaled(wait, random.unit())) };
+}
+
 SelectedAttempt TargetSelector::begin(const Selection &selection, TimePoint now)
 {
     Entry &entry = m_entries.at(selection.target);
@@ -251,6 +270,14 @@
     }
 }
 
+void TargetSelector::notePause(const TargetId &target, Deadline until)
+{
+    const auto found = m_entries.find(target);
+    if (found != m_entries.end()) {
+        found->second.pausedUntil = std::max(found->second.pausedUntil, until);
+    }
+}
+
 void TargetSelector::noteDied(const TargetId &target, TimePoint now, RandomSource &random)
 {
     if (m_entries.contains(target)) {
--- a/Libraries/LibSteering/TargetSelector.h
+++ b/Libraries/LibSteering/TargetSelector.h
@@ -30,6 +30,7 @@
     NoTargets, ///< The region has none, or all are drained or excluded.
     NoneHealthy, ///< All are ejected or reported down.
     AllFull, ///< Healthy targets exist, but none has capacity.
+    AllPaused, ///< All that take requests have asked for a pause.
 };
 
 struct Selection
@@ -74,6 +75,8 @@
              RandomSource &random);
     /// Takes an observer's report.
     void takeReport(const TargetReport &report);
+    /// The target wants no requests until the deadline. An earlier one than that of its last pause changes nothing.
+    void notePause(const TargetId &target, Deadline until);
     /// Ejects a target at once, since it resets and refuses connections.
     void noteDied(const TargetId &target, TimePoint now, RandomSource &random);
     /// To be called about once a second. Returns the targets that were ejected as outliers.
@@ -96,6 +99,7 @@
         TargetState state;
         bool isDownTrialInProgress { false }; ///< Whether a trial at a target that is reported down is in flight.
         Deadline nextDownTrial {};
+        Deadline pausedUntil {};
         std::size_t rank { 0 }; ///< Of this VM among the region's VMs, by rendezvous hashing with the target's id.
     };
 
@@ -111,6 +115,8 @@
     double utilization(const Entry &entry, TimePoint now) const;
     Selection notSelected(const std::vector<const Entry *> &working, const std::vector<const Entry *> &down,
                           TimePoint now) const;
+    /// Returns when callers may come back after the first of the pauses, spread over its length.
+    static Selection allPaused(const std::vector<const Entry *> &paused, TimePoint now, RandomSource &random);
 
     SlotPolicy m_policy;
     VmId m_ownVm;
--- a/Libraries/LibTarget/AttemptReport.h
+++ b/Libraries/LibTarget/AttemptReport.h
@@ -2,6 +2,7 @@
 
 #include <LibExchange/RequestHandler.h>
 
+#include <optional>
 #include <string_view>
 
 namespace Sapphire {
@@ -29,6 +30,8 @@
     Microseconds latency {}; ///< From the end of the request to the head of the answer; zero if there was none.
     TimePoint sentAt {}; ///< When the first byte was sent; the epoch if none was.
     bool wasReused { false }; ///< Whether the connection had served an earlier request.
+    /// Until when the target wants no requests; set if it answered 503 with a Retry-After header that can be read.
+    std::optional<Deadline> pausedUntil {};
 };
 
 } // namespace Sapphire
--- a/Libraries/LibTarget/LibTargetEvents.h
+++ b/Libraries/LibTarget/LibTargetEvents.h
@@ -9,5 +9,6 @@
 inline constexpr EventType targetHealthChanged { 3002, "target-health-changed", Severity::Info };
 inline constexpr EventType targetAddressInvalid { 3003, "target-address-invalid", Severity::Error };
 inline constexpr EventType answerCut { 3004, "answer-cut", Severity::Warning };
+inline constexpr EventType pauseRequested { 3005, "target-pause-requested", Severity::Info };
 
 } // namespace Sapphire::TargetEvents
--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -1,5 +1,6 @@
 #include <LibTarget/ServiceTargets.h>
 
+#include <LibCore/Duration.h>
 #include <LibTarget/DeathProbe.h>
 #include <LibTarget/LibTargetEvents.h>
 
@@ -171,6 +172,10 @@
 Refusal ServiceTargets::refusalOf(const Selection &selection)
 {
     Refusal refusal { RefusalReason::NoHealthyTarget, Verdict::NotRun, "no target in the region accepts requests" };
+    if (selection.end == SelectionEnd::AllPaused) {
+        refusal.reason = RefusalReason::NoCapacity;
+        refusal.detail = "all targets in the region have asked for a pause";
+    }
     if (selection.end == SelectionEnd::AllFull) {
         refusal.reason = RefusalReason::NoCapacity;
         refusal.detail = "all targets in the region are at capacity";
@@ -299,6 +304,14 @@
         const std::lock_guard guard(service.mutex);
         const AttemptOutcome outcome = outcomeOf(service, report, choice.attempt);
         isEjected = service.selector.end(choice.attempt, outcome, report.latency, m_clock.now(), service.random);
+        if (report.pausedUntil) {
+            service.selector.notePause(choice.attempt.target, *report.pausedUntil);
+        }
+    }
+    if (report.pausedUntil) {
+        logEvent(TargetEvents::pauseRequested,
+                 { { "target", choice.attempt.target },
+                   { "milliseconds", millisecondsBetween(m_clock.now(), report.pausedUntil->at()) } });
     }
     service.capacityMayExist.notify_one();
     if (isEjected) {
@@ -312,6 +325,9 @@
 {
     switch (report.end) {
     case AttemptEnd::Answered:
+        if (report.pausedUntil) {
+            return AttemptOutcome::Shed;
+        }
         return report.status >= firstServerError ? AttemptOutcome::ServerError : AttemptOutcome::Success;
     case AttemptEnd::Shed:
         return AttemptOutcome::Shed;
--- a/Libraries/LibTarget/TargetAttempt.cpp
+++ b/Libraries/LibTarget/TargetAttempt.cpp
@@ -1,6 +1,7 @@
 #include <LibTarget/TargetAttempt.h>
 
 #include <LibExchange/ConnectionHeaders.h>
+#include <LibExchange/RetryAfter.h>
 #include <LibTarget/HeaderFilter.h>
 
 #include <Poco/Net/HTTPRequest.h>
@@ -106,7 +107,7 @@
         return shed();
     }
     releaseConnection(m_isRequestComplete && m_reader->isConnectionReusable());
-    return { { std::nullopt, true }, AttemptEnd::Answered, m_status, m_latency, m_sentAt, m_wasReused };
+    return { { std::nullopt, true }, AttemptEnd::Answered, m_status, m_latency, m_sentAt, m_wasReused, m_pausedUntil };
 }
 
 Result<void> TargetAttempt::readFirstPiece()
@@ -250,6 +251,7 @@
     BOOST_LEAF_CHECK(m_reader->readHead(m_limit));
     m_latency = m_clock.now() - m_requestEndAt;
     m_status = m_reader->head().getStatus();
+    readPause();
     const bool isShed = m_status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE
         && m_reader->head().get("Sapphire-Shed", "") == "1";
     if (isShed) {
@@ -259,6 +261,19 @@
     return forwardBody();
 }
 
+void TargetAttempt::readPause()
+{
+    const bool asksForPause =
+        m_status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE && m_reader->head().has("Retry-After");
+    if (!asksForPause) {
+        return;
+    }
+    const RetryAfter pause = readRetryAfter(m_reader->head().get("Retry-After"), m_clock.now());
+    if (pause.reading != RetryAfter::Reading::Unreadable) {
+        m_pausedUntil = pause.until;
+    }
+}
+
 Result<void> TargetAttempt::forwardHead()
 {
     AnswerHead answer;
@@ -305,7 +320,9 @@
     releaseConnection(false);
     // Even if the request was sent completely, the target states that it has not run it.
     Refusal refusal { RefusalReason::NoCapacity, Verdict::NotRun, "target " + m_target.id.text() + " is at capacity" };
-    return { { std::move(refusal), false }, AttemptEnd::Shed, m_status, m_latency, m_sentAt, m_wasReused };
+    return {
+        { std::move(refusal), false }, AttemptEnd::Shed, m_status, m_latency, m_sentAt, m_wasReused, m_pausedUntil
+    };
 }
 
 AttemptReport TargetAttempt::refuse(AttemptEnd end, RefusalReason reason, std::string detail) const
--- a/Libraries/LibTarget/TargetAttempt.h
+++ b/Libraries/LibTarget/TargetAttempt.h
@@ -46,6 +46,7 @@
     std::string framed(std::string_view piece) const;
 
     Result<void> receive();
+    void readPause();
     Result<void> forwardHead();
     Result<void> forwardBody();
     AttemptReport shed();
@@ -78,6 +79,7 @@
     TimePoint m_requestEndAt {};
     Microseconds m_latency {};
     int m_status { 0 };
+    std::optional<Deadline> m_pausedUntil;
 };
 
 } // namespace Sapphire
--- a/Tests/LibSteering/TestTargetSelector.cpp
+++ b/Tests/LibSteering/TestTargetSelector.cpp
@@ -254,6 +254,32 @@
     CHECK(selector.select(none.retryAt->at(), random, {}, true).end == SelectionEnd::Selected);
 }
 
+TEST_CASE("TargetSelector sends nothing to a target that has asked for a pause, trials included")
+{
+    // Guards against requests in a pause, and against an ejected target whose trial breaks it.
+    RandomSource random(5);
+    TargetSelector selector(SlotPolicy::Optimistic);
+    selector.setTargets(targets(2, 4), start);
+    const Deadline first = Deadline::after(start, Milliseconds(3'000));
+    const Deadline second = Deadline::after(start, Milliseconds(5'000));
+    selector.notePause(TargetId("t0"), second);
+    selector.notePause(TargetId("t0"), first);
+    for (int i = 0; i < 10; ++i) {
+        CHECK(selector.select(start, random, {}, true).target == TargetId("t1"));
+    }
+    selector.noteDied(TargetId("t1"), start, random);
+    selector.notePause(TargetId("t1"), first);
+    const Selection none = selector.select(start + Milliseconds(2'900), random, {}, true);
+    CHECK(none.end == SelectionEnd::AllPaused);
+    REQUIRE(none.retryAt);
+    CHECK(*none.retryAt >= first);
+    CHECK(*none.retryAt <= second);
+    const Selection trial = selector.select(first.at(), random, {}, true);
+    CHECK(trial.end == SelectionEnd::Selected);
+    CHECK(trial.isTrial);
+    CHECK_FALSE(selector.select(second.at(), random, { TargetId("t1") }, true).isTrial);
+}
+
 TEST_CASE("TargetSelector sends no requests to draining targets and single trials to failing ones")
 {
     // Guards against new requests at targets that are leaving, and against losing requests at targets that are down.
--- a/Tests/LibTarget/TestServiceTargets.cpp
+++ b/Tests/LibTarget/TestServiceTargets.cpp
@@ -132,6 +132,37 @@
     CHECK(report.refusal->verdict == Verdict::NotRun);
 }
 
+TEST_CASE("ServiceTargets sends nothing to a target in the pause that it has asked for")
+{
+    // Guards against a target in need that gets its usual load, and against requests that wait for it in vain.
+    std::atomic<int> atPaused { 0 };
+    ScriptedTarget paused([&atPaused](Poco::Net::StreamSocket &socket) {
+        while (!ScriptedTarget::readHead(socket).empty()) {
+            const bool isFirst = ++atPaused == 1;
+            ScriptedTarget::write(socket,
+                                  isFirst ? "HTTP/1.1 503 Busy\r\nSapphire-Shed: 1\r\nRetry-After: 1.2\r\n"
+                                            "Content-Length: 0\r\n\r\n"
+                                          : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    Fixture fixture(configurationOf({ paused.address().toString() }));
+    CHECK(fixture.run(fixture.head("/")).refusal);
+    const TimePoint start = fixture.clock.now();
+    const ExchangeReport refused = fixture.run(fixture.head("/"));
+    REQUIRE(refused.refusal);
+    CHECK(refused.refusal->verdict == Verdict::NotRun);
+    CHECK(fixture.clock.now() - start < Milliseconds(100));
+    REQUIRE(refused.refusal->retryAt);
+    CHECK(refused.refusal->retryAt->remaining(start) > Milliseconds(1'000));
+    while (fixture.clock.now() - start < Milliseconds(1'100)) {
+        CHECK(fixture.run(fixture.head("/")).refusal);
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+    CHECK(atPaused == 1);
+    std::this_thread::sleep_for(Milliseconds(150));
+    CHECK_FALSE(fixture.run(fixture.head("/")).refusal);
+}
+
 TEST_CASE("ServiceTargets never sends a booking again that may have run")
 {
     // Guards against a second run after a lost connection, and against an idempotent request that is not retried.
