Soak: Let targets leave and ask for pauses in their answers

Change: the simulated target says that it is leaving, while the list still shows it as ready, and starts again under the same id; or it turns requests away with Retry-After. The checks: no run of a request that was sent after its VM had passed on such an answer, and at most two requests of a VM half a second into a pause. VM freezes, kills, planned stops and store outages overlap both.

--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -112,12 +112,13 @@
             + "],\"rate_per_s\":" + std::to_string(rules.rate) + ",\"burst\":" + std::to_string(rules.rate) + "}]}");
 }
 
-void EntryDeployment::announce(const WireTarget &target, const std::string &state)
+void EntryDeployment::announce(const WireTarget &target, const std::string &state, int born)
 {
     m_store.set("servers", target.id(),
                 "{\"service\":\"s\",\"address\":\"" + linkAddress("target:" + target.id(), target.address())
                     + "\",\"zone\":\"" + m_zones.at(&target) + "\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state
-                    + "\",\"cold_left\":\"0ms\",\"sequence\":" + std::to_string(++m_sequence) + ",\"born\":1}");
+                    + "\",\"cold_left\":\"0ms\",\"sequence\":" + std::to_string(++m_sequence)
+                    + ",\"born\":" + std::to_string(born) + "}");
 }
 
 void EntryDeployment::withdraw(const WireTarget &target)
--- a/Tests/Entry/EntryDeployment.h
+++ b/Tests/Entry/EntryDeployment.h
@@ -74,8 +74,8 @@
     }
 
     void applyRules(const EntryRules &rules);
-    /// Writes a target's entry in the store, as a real target does itself.
-    void announce(const WireTarget &target, const std::string &state);
+    /// Writes a target's entry in the store, as a real target does itself. `born` is the time of its start.
+    void announce(const WireTarget &target, const std::string &state, int born = 1);
     void withdraw(const WireTarget &target);
     /// Starts or restarts a VM's process with the settings in its file.
     void start(EntryVm &vm);
--- a/Tests/Soak/SoakChecks.cpp
+++ b/Tests/Soak/SoakChecks.cpp
@@ -13,6 +13,9 @@
 constexpr Milliseconds answerTimeLimit { 1'500 };
 constexpr std::size_t maxLateAnswers = 8;
 constexpr Milliseconds drainTime { 2'500 };
+// Requests that were on their way when a target asked for a pause may still arrive for this long.
+constexpr Milliseconds pauseNoticeTime { 500 };
+constexpr int mostInPause = 2;
 constexpr Milliseconds recoveryTime { 5'000 };
 constexpr double minServedRatio = 0.95;
 constexpr int statusOk = 200;
@@ -25,6 +28,12 @@
     for (const WireTargetRun &run : record.runs) {
         m_runs[run.requestId].push_back(&run);
     }
+    for (const CallerRecord &request : record.requests) {
+        m_vms[request.id] = request.vm;
+    }
+    for (const SoakKeyProbe &probe : record.probes) {
+        m_vms[probe.record.id] = probe.record.vm;
+    }
 }
 
 std::vector<std::string> SoakChecks::run()
@@ -38,6 +47,8 @@
     checkTimes();
     checkKeys();
     checkDrains();
+    checkLeaves();
+    checkPauses();
     checkRuns();
     checkRecovery();
     return m_violations;
@@ -173,6 +184,70 @@
     }
 }
 
+std::string SoakChecks::vmOf(const std::string &requestId) const
+{
+    const auto found = m_vms.find(requestId);
+    return found == m_vms.end() ? "" : found->second;
+}
+
+std::optional<TimePoint> SoakChecks::toldOfLeave(const SoakLeave &leave, const std::string &vm) const
+{
+    std::optional<TimePoint> told;
+    for (const CallerRecord &request : m_record.requests) {
+        // The target may have begun its answer before it was leaving unless the request was sent afterwards.
+        const bool isTold = request.vm == vm && request.status == statusOk && request.body == "ran at " + leave.target
+            && request.sentAt > leave.at && request.endedAt < leave.restartedAt;
+        if (isTold && (!told || request.endedAt < *told)) {
+            told = request.endedAt;
+        }
+    }
+    return told;
+}
+
+void SoakChecks::checkLeaves()
+{
+    for (const SoakLeave &leave : m_record.leaves) {
+        for (const std::string &vm : m_record.vmAddresses) {
+            const std::optional<TimePoint> told = toldOfLeave(leave, vm);
+            for (const CallerRecord &request : m_record.requests) {
+                const auto runs = m_runs.find(request.id);
+                if (!told || request.vm != vm || request.sentAt <= *told || runs == m_runs.end()
+                    || isAffected(vm, { *told, request.sentAt }, { SoakScope::Vm })) {
+                    continue;
+                }
+                const bool isLate =
+                    std::any_of(runs->second.begin(), runs->second.end(), [&](const WireTargetRun *run) {
+                        return run->target == leave.target && run->at < leave.restartedAt;
+                    });
+                if (isLate) {
+                    addViolation(request, "ran at " + leave.target + ", which had told the VM that it was leaving");
+                }
+            }
+        }
+    }
+}
+
+void SoakChecks::checkPauses()
+{
+    for (const WireTargetPause &pause : m_record.pauses) {
+        const std::string vm = vmOf(pause.requestId);
+        const Span span { pause.at + pauseNoticeTime, pause.until };
+        if (vm.empty() || isAffected(vm, { pause.at, pause.until }, { SoakScope::Vm, SoakScope::TargetLink })) {
+            continue;
+        }
+        const auto isInPause = [&](const auto &arrival) {
+            return arrival.target == pause.target && arrival.at > span.first && arrival.at < span.second
+                && vmOf(arrival.requestId) == vm;
+        };
+        const auto runs = std::count_if(m_record.runs.begin(), m_record.runs.end(), isInPause);
+        const auto turnedAway = std::count_if(m_record.pauses.begin(), m_record.pauses.end(), isInPause);
+        if (runs + turnedAway > mostInPause) {
+            m_violations.push_back(vm + " sent " + std::to_string(runs + turnedAway) + " requests to " + pause.target
+                                   + " in the pause that it had asked for");
+        }
+    }
+}
+
 void SoakChecks::checkRuns()
 {
     std::set<std::string> sent;
--- a/Tests/Soak/SoakChecks.h
+++ b/Tests/Soak/SoakChecks.h
@@ -3,6 +3,7 @@
 #include <Soak/SoakRecord.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,9 +28,15 @@
     void checkTimes();
     void checkKeys();
     void checkDrains();
+    void checkLeaves();
+    void checkPauses();
     void checkRuns();
     void checkRecovery();
 
+    /// Returns the address of the VM to which the caller of a request sent it, or an empty text.
+    std::string vmOf(const std::string &requestId) const;
+    /// Returns when the VM first passed on an answer in which the target said that it was leaving, if it did.
+    std::optional<TimePoint> toldOfLeave(const SoakLeave &leave, const std::string &vm) const;
     Span span(const CallerRecord &request) const;
     /// Returns whether a fault of one of the scopes was active during the span or ended shortly before it. Faults on
     /// single VMs and their store links count only for the given VM; an empty address stands for all VMs.
@@ -42,6 +49,7 @@
 
     const SoakRecord &m_record;
     std::map<std::string, std::vector<const WireTargetRun *>> m_runs; ///< By the request's id.
+    std::map<std::string, std::string> m_vms; ///< By the request's id.
     std::vector<std::string> m_violations;
 };
 
--- a/Tests/Soak/SoakFault.cpp
+++ b/Tests/Soak/SoakFault.cpp
@@ -63,6 +63,8 @@
         type(Kind::TargetFailing, Scope::Target, "target fails", 500, 4'000),
         type(Kind::TargetSilent, Scope::Target, "target silent", 500, 4'000),
         type(Kind::TargetDrained, Scope::Target, "target drained", 3'500, 5'000),
+        type(Kind::TargetLeaving, Scope::Target, "target leaving", 1'000, 4'000),
+        type(Kind::TargetPaused, Scope::Target, "target asks for pauses", 500, 4'000),
         type(Kind::TargetLinkReset, Scope::TargetLink, "target cut off", 200, 2'000),
         type(Kind::TargetLinkSilent, Scope::TargetLink, "target's answers lost", 200, 2'000),
         type(Kind::TargetLinkSlow, Scope::TargetLink, "target's link slow", 500, 3'000),
--- a/Tests/Soak/SoakFault.h
+++ b/Tests/Soak/SoakFault.h
@@ -27,6 +27,8 @@
     TargetFailing,
     TargetSilent,
     TargetDrained,
+    TargetLeaving, ///< It says so in its answers, while the list still shows it as ready; then it starts again.
+    TargetPaused, ///< It turns all requests away and asks for a pause.
     TargetLinkReset,
     TargetLinkSilent, ///< One way: the target's answers don't reach the VMs.
     TargetLinkSlow,
--- a/Tests/Soak/SoakRecord.h
+++ b/Tests/Soak/SoakRecord.h
@@ -24,6 +24,14 @@
     TimePoint returnedAt {};
 };
 
+/// A target that says in its answers that it is leaving, until it starts again.
+struct SoakLeave
+{
+    std::string target;
+    TimePoint at {};
+    TimePoint restartedAt { TimePoint::max() };
+};
+
 /// What callers and targets of one run recorded, and what was done to the deployment.
 struct SoakRecord
 {
@@ -34,7 +42,9 @@
     std::vector<CallerRecord> requests;
     std::vector<SoakKeyProbe> probes;
     std::vector<SoakDrain> drains;
+    std::vector<SoakLeave> leaves;
     std::vector<WireTargetRun> runs;
+    std::vector<WireTargetPause> pauses;
     std::vector<std::string> unexpectedEnds; ///< Descriptions of VM processes that ended unexpectedly.
 };
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds probeTimeout { 1'000 };
 constexpr Milliseconds linkDelay { 150 };
 constexpr Milliseconds storeDelay { 400 };
+constexpr Milliseconds pauseTime { 1'500 };
 constexpr int statusUnavailable = 503;
 
 std::string extraKey(int rulesVersion)
@@ -66,6 +67,7 @@
     }
     m_record.requests = callers.stop();
     m_record.runs = m_deployment.targets().runs();
+    m_record.pauses = m_deployment.targets().pauses();
     return m_record;
 }
 
@@ -153,8 +155,11 @@
         });
     } else if (fault.kind == SoakFaultKind::TargetDrained) {
         isOn ? drain(target) : returnToService(target);
+    } else if (fault.kind == SoakFaultKind::TargetLeaving) {
+        isOn ? leave(target) : restartAfterLeave(target);
     } else {
         WireTargetBehaviour behaviour;
+        behaviour.pause = isOn && fault.kind == SoakFaultKind::TargetPaused ? pauseTime : Milliseconds(0);
         behaviour.isFailing = isOn && fault.kind == SoakFaultKind::TargetFailing;
         behaviour.isSilent = isOn && fault.kind == SoakFaultKind::TargetSilent;
         target.setBehaviour(behaviour);
@@ -163,7 +168,7 @@
 
 void SoakRun::drain(WireTarget &target)
 {
-    m_deployment.announce(target, "draining");
+    m_deployment.announce(target, "draining", bornOf(target));
     m_record.drains.push_back({ target.id(), m_clock.now(), TimePoint::max() });
 }
 
@@ -173,7 +178,35 @@
         return drain.target == target.id();
     });
     drained->returnedAt = m_clock.now();
-    m_deployment.announce(target, "ready");
+    m_deployment.announce(target, "ready", bornOf(target));
+}
+
+void SoakRun::leave(WireTarget &target)
+{
+    WireTargetBehaviour behaviour;
+    behaviour.isLeaving = true;
+    target.setBehaviour(behaviour);
+    m_record.leaves.push_back({ target.id(), m_clock.now() });
+}
+
+void SoakRun::restartAfterLeave(WireTarget &target)
+{
+    const auto left = std::find_if(m_record.leaves.rbegin(), m_record.leaves.rend(), [&](const SoakLeave &leave) {
+        return leave.target == target.id();
+    });
+    left->restartedAt = m_clock.now();
+    target.setBehaviour({});
+    m_deployment.targets().run([&] {
+        target.restart();
+    });
+    m_born[&target] = ++m_lastBorn;
+    m_deployment.announce(target, "ready", m_lastBorn);
+}
+
+int SoakRun::bornOf(const WireTarget &target) const
+{
+    const auto found = m_born.find(&target);
+    return found == m_born.end() ? 1 : found->second;
 }
 
 void SoakRun::setLinkFault(const SoakFault &fault, bool isOn)
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -3,6 +3,7 @@
 #include <Entry/EntryCallers.h>
 #include <Soak/SoakRecord.h>
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -35,6 +36,9 @@
     void setTargetFault(const SoakFault &fault, bool isOn);
     void drain(WireTarget &target);
     void returnToService(WireTarget &target);
+    void leave(WireTarget &target);
+    void restartAfterLeave(WireTarget &target);
+    int bornOf(const WireTarget &target) const;
     void setLinkFault(const SoakFault &fault, bool isOn);
     void changeKey();
     void probeKeys();
@@ -46,6 +50,8 @@
     SoakRecord m_record;
     BootClock m_clock;
     int m_rulesVersion { 1 };
+    int m_lastBorn { 1 }; ///< The latest start of a target.
+    std::map<const WireTarget *, int> m_born; ///< The last start of targets that have started again.
     int m_probes { 0 };
 };
 
--- a/Tests/Soak/TestSoakChecks.cpp
+++ b/Tests/Soak/TestSoakChecks.cpp
@@ -119,6 +119,20 @@
         record.drains.push_back({ "t1", at(0), at(9'000) });
         add(record, requestAt("read", "GET", 3'000, 200), 1);
     }
+    SUBCASE("a request that runs at a target which has told the VM that it is leaving")
+    {
+        record.leaves.push_back({ "t1", at(0), at(9'000) });
+        add(record, requestAt("told", "GET", 100, 200), 1);
+        add(record, requestAt("late", "GET", 130, 200), 1);
+    }
+    SUBCASE("requests in a pause that the target has asked for")
+    {
+        record.pauses.push_back({ "turned-away", "t1", at(0), at(2'000) });
+        add(record, requestAt("turned-away", "GET", 0, 503), 0);
+        for (const int milliseconds : { 600, 700, 1'900 }) {
+            add(record, requestAt("paused-" + std::to_string(milliseconds), "GET", milliseconds, 200), 1);
+        }
+    }
     SUBCASE("a process that ended unexpectedly")
     {
         record.unexpectedEnds.emplace_back("vm-1 had ended");
@@ -130,6 +144,22 @@
     CHECK(violationCount(record) == 1);
 }
 
+TEST_CASE("SoakChecks accepts what a target gets before the VM can know, and after a new start")
+{
+    // Guards against reports of requests that no VM could hold back.
+    SoakRecord record = healthyRecord();
+    record.leaves.push_back({ "t1", at(0), at(1'000) });
+    add(record, requestAt("before", "GET", 10, 200), 1);
+    add(record, requestAt("beside", "GET", 20, 200), 1);
+    add(record, requestAt("after", "GET", 1'100, 200), 1);
+    record.pauses.push_back({ "turned-away", "t1", at(5'000), at(6'000) });
+    add(record, requestAt("turned-away", "GET", 5'000, 503), 0);
+    for (const int milliseconds : { 5'100, 5'200, 5'300, 5'600, 5'700, 6'100 }) {
+        add(record, requestAt("near-" + std::to_string(milliseconds), "GET", milliseconds, 200), 1);
+    }
+    CHECK(violationCount(record) == 0);
+}
+
 TEST_CASE("SoakChecks accepts requests that are lost by a kill or by a concurrent close")
 {
     // Guards against reports of effects that the fault itself explains.
--- a/Tests/StandIns/WireTarget/WireTarget.cpp
+++ b/Tests/StandIns/WireTarget/WireTarget.cpp
@@ -77,6 +77,8 @@
             answer(statusOk, { { "X-Instance-Id", m_target->id() } });
         } else if (!expected.empty() && expected != m_target->id()) {
             answer(statusMisdirected, { { "X-Instance-Id", m_target->id() } });
+        } else if (m_target->m_behaviour.pause > Milliseconds::zero()) {
+            turnAway(m_target->m_behaviour.pause);
         } else if (static_cast<int>(m_target->m_running.size()) < m_target->m_behaviour.slots) {
             run();
         } else if (static_cast<int>(m_target->m_waiting.size()) < m_target->m_behaviour.queue) {
@@ -86,6 +88,15 @@
         }
     }
 
+    void turnAway(Milliseconds pause)
+    {
+        const TimePoint now = m_target->m_loop.clock().now();
+        m_target->notePause({ header("X-Attempt-Id"), m_target->id(), now, now + pause });
+        answer(statusUnavailable,
+               { { "X-Not-Executed", "1" },
+                 { "Retry-After", std::to_string(std::chrono::duration<double>(pause).count()) } });
+    }
+
     void finish()
     {
         const RefPointer<WireTargetHandler> self(this);
@@ -110,6 +121,9 @@
     void answer(int status, std::vector<HeaderField> headers)
     {
         headers.push_back({ "X-Attempt-Id", header("X-Attempt-Id") });
+        if (m_target->m_behaviour.isLeaving) {
+            headers.push_back({ "Server-Leaving", "1" });
+        }
         headers.push_back({ "X-Server-Load",
                             std::to_string(m_target->m_running.size()) + ","
                                 + std::to_string(m_target->m_waiting.size()) + ","
@@ -193,6 +207,18 @@
     m_runs.push_back(std::move(run));
 }
 
+std::vector<WireTargetPause> WireTarget::pauses() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_pauses;
+}
+
+void WireTarget::notePause(WireTargetPause pause)
+{
+    const std::lock_guard guard(m_mutex);
+    m_pauses.push_back(std::move(pause));
+}
+
 void WireTarget::serveWaiting()
 {
     while (!m_waiting.empty() && static_cast<int>(m_running.size()) < m_behaviour.slots) {
--- a/Tests/StandIns/WireTarget/WireTarget.h
+++ b/Tests/StandIns/WireTarget/WireTarget.h
@@ -22,6 +22,15 @@
     TimePoint at {};
 };
 
+/// A request that a simulated target has turned away, with the wish to get none until some time later.
+struct WireTargetPause
+{
+    std::string requestId;
+    std::string target;
+    TimePoint at {};
+    TimePoint until {};
+};
+
 /// How a simulated target behaves.
 struct WireTargetBehaviour
 {
@@ -30,6 +39,8 @@
     int queue { 12 }; ///< Requests that may wait for a slot; more are refused with 503.
     bool isFailing { false }; ///< Answers all requests with 500.
     bool isSilent { false }; ///< Runs requests and answers none.
+    bool isLeaving { false }; ///< Says in all answers that it is leaving.
+    Milliseconds pause { 0 }; ///< Turns all requests away with this Retry-After; zero for a target that takes them.
     std::string crashPath; ///< A request for this path crashes the target as it starts to run; none if empty.
     Milliseconds downTime { 400 }; ///< From a crash that a request caused until the target starts again.
 };
@@ -60,6 +71,7 @@
     /// Any thread may call these.
     void setBehaviour(const WireTargetBehaviour &behaviour);
     std::vector<WireTargetRun> runs() const;
+    std::vector<WireTargetPause> pauses() const;
 
 private:
     friend class WireTargetHandler;
@@ -68,6 +80,7 @@
     void listen();
     void serveWaiting();
     void noteRun(WireTargetRun run);
+    void notePause(WireTargetPause pause);
 
     EventLoop &m_loop;
     std::string m_id;
@@ -75,6 +88,7 @@
     mutable std::mutex m_mutex;
     WireTargetBehaviour m_behaviour;
     std::vector<WireTargetRun> m_runs;
+    std::vector<WireTargetPause> m_pauses;
     std::unique_ptr<HttpListener> m_listener;
     std::set<RefPointer<class WireTargetHandler>> m_running;
     std::deque<RefPointer<class WireTargetHandler>> m_waiting;
--- a/Tests/StandIns/WireTarget/WireTargets.cpp
+++ b/Tests/StandIns/WireTarget/WireTargets.cpp
@@ -57,4 +57,14 @@
     return all;
 }
 
+std::vector<WireTargetPause> WireTargets::pauses() const
+{
+    std::vector<WireTargetPause> all;
+    for (const std::unique_ptr<WireTarget> &target : m_targets) {
+        const std::vector<WireTargetPause> pauses = target->pauses();
+        all.insert(all.end(), pauses.begin(), pauses.end());
+    }
+    return all;
+}
+
 } // namespace Sapphire
--- a/Tests/StandIns/WireTarget/WireTargets.h
+++ b/Tests/StandIns/WireTarget/WireTargets.h
@@ -23,6 +23,8 @@
     void run(const std::function<void()> &function);
     /// Returns the requests that all targets have started to run, in no particular order.
     std::vector<WireTargetRun> runs() const;
+    /// Returns the requests that all targets have turned away with a wish for a pause, in no particular order.
+    std::vector<WireTargetPause> pauses() const;
 
 private:
     BootClock m_clock;
