--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/RequestAttempt.h>
 
+#include <LibGateway/TargetNoticeReader.h>
 #include <LibNet/ChunkedEncoding.h>
 
 #include <charconv>
@@ -182,7 +183,8 @@
         if (!m_isOver) {
             m_session->abandon();
         }
-        fail(AttemptFailure::Kind::Malformed, Verdict::MayHaveRun,
+        const bool isTurnedAway = TargetNoticeReader::isTurnedAway(m_answer);
+        fail(isTurnedAway ? AttemptFailure::Kind::Shed : AttemptFailure::Kind::Malformed, Verdict::MayHaveRun,
              "status " + std::to_string(m_answer.status)
                  + " without the target's seal or with an unexpected content encoding");
         return;
--- a/Libraries/LibGateway/RequestAttempt.h
+++ b/Libraries/LibGateway/RequestAttempt.h
@@ -22,7 +22,7 @@
 struct AttemptFailure
 {
     enum class Kind {
-        Shed, ///< The target rejected the request and has not run it.
+        Shed, ///< The target rejected the request, and has not run it if the verdict says so.
         WrongTarget, ///< Another target has the address now; the request has not run.
         NotConnected, ///< The target has received nothing of the request.
         Broken, ///< The connection broke.
--- a/Tests/LibGateway/TestTargetNotices.cpp
+++ b/Tests/LibGateway/TestTargetNotices.cpp
@@ -239,30 +239,33 @@
 
 TEST_CASE("A request that a target turns away without saying that it has not run ejects no target")
 {
-    // Guards against a target that counts as failed because it asked for a pause.
-    std::atomic<int> requests { 0 };
-    std::atomic<int> checks { 0 };
-    ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
-        for (std::string head = ScriptedTarget::readHead(socket); !head.empty();
-             head = ScriptedTarget::readHead(socket)) {
-            const bool isCheck = head.starts_with("GET /health ");
-            checks += isCheck ? 1 : 0;
-            requests += isCheck ? 0 : 1;
-            ScriptedTarget::write(socket,
-                                  "HTTP/1.1 503 Busy\r\nSeal: s\r\nRequest-Id: r1\r\nRetry-After: 0.05\r\n"
-                                  "Content-Length: 0\r\n\r\n");
+    // Guards against a target that counts as failed because it asked for a pause, with a seal or without one.
+    for (const std::string seal : { "Seal: s\r\n", "" }) {
+        CAPTURE(seal);
+        std::atomic<int> requests { 0 };
+        std::atomic<int> checks { 0 };
+        ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
+            for (std::string head = ScriptedTarget::readHead(socket); !head.empty();
+                 head = ScriptedTarget::readHead(socket)) {
+                const bool isCheck = head.starts_with("GET /health ");
+                checks += isCheck ? 1 : 0;
+                requests += isCheck ? 0 : 1;
+                ScriptedTarget::write(socket,
+                                      "HTTP/1.1 503 Busy\r\n" + seal
+                                          + "Request-Id: r1\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        GatewayFixture fixture;
+        fixture.applyRules(Milliseconds(300));
+        fixture.applyTargets({ GatewayFixture::targetEntry("t1", target.address()) });
+        for (int i = 0; i < 10; ++i) {
+            fixture.call("GET", "/read/a");
+            std::this_thread::sleep_for(Milliseconds(60));
         }
-    });
-    GatewayFixture fixture;
-    fixture.applyRules(Milliseconds(300));
-    fixture.applyTargets({ GatewayFixture::targetEntry("t1", target.address()) });
-    for (int i = 0; i < 10; ++i) {
-        fixture.call("GET", "/read/a");
-        std::this_thread::sleep_for(Milliseconds(60));
+        // Several in a row, which would eject it if they counted as failures.
+        CHECK(requests > 3);
+        CHECK(checks == 0);
     }
-    // Several in a row, which would eject it if they counted as failures.
-    CHECK(requests > 3);
-    CHECK(checks == 0);
 }
 
 TEST_CASE("A request is refused on arrival while all targets have asked for a pause")
