--- a/Tests/LibGateway/TestTargetNotices.cpp
+++ b/Tests/LibGateway/TestTargetNotices.cpp
@@ -26,6 +26,21 @@
     return begin == std::string::npos ? 0 : std::stod(answer.head.substr(begin + name.size()));
 }
 
+/// Counts requests and health checks, and answers both with the result of the function.
+ScriptedTarget::Script counting(std::atomic<int> &requests, std::atomic<int> &checks,
+                                std::function<std::string()> answer)
+{
+    return [&requests, &checks, answer = std::move(answer)](Poco::Net::StreamSocket &socket) {
+        for (std::string head = ScriptedTarget::readHead(socket); !head.empty();
+             head = ScriptedTarget::readHead(socket)) {
+            const bool isCheck = head.starts_with("GET /health ");
+            checks += isCheck ? 1 : 0;
+            requests += isCheck ? 0 : 1;
+            ScriptedTarget::write(socket, answer());
+        }
+    };
+}
+
 void callTimes(GatewayFixture &fixture, int times)
 {
     for (int i = 0; i < times; ++i) {
@@ -202,15 +217,9 @@
     std::atomic<int> requests { 0 };
     std::atomic<int> checks { 0 };
     std::atomic<bool> isPaused { true };
-    ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
-        for (std::string head = ScriptedTarget::readHead(socket); !head.empty();
-             head = ScriptedTarget::readHead(socket)) {
-            const bool isCheck = head.starts_with("GET /health ");
-            checks += isCheck ? 1 : 0;
-            requests += isCheck ? 0 : 1;
-            ScriptedTarget::write(socket, isPaused ? turnedAway("Retry-After: 1.5\r\n") : soundAnswer("first"));
-        }
-    });
+    ScriptedTarget target(counting(requests, checks, [&isPaused] {
+        return isPaused ? turnedAway("Retry-After: 1.5\r\n") : soundAnswer("first");
+    }));
     ScriptedTarget other(answering([](const std::string &) {
         return soundAnswer("other");
     }));
@@ -244,17 +253,9 @@
         CAPTURE(seal);
         std::atomic<int> requests { 0 };
         std::atomic<int> checks { 0 };
-        ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
-            for (std::string head = ScriptedTarget::readHead(socket); !head.empty();
-                 head = ScriptedTarget::readHead(socket)) {
-                const bool isCheck = head.starts_with("GET /health ");
-                checks += isCheck ? 1 : 0;
-                requests += isCheck ? 0 : 1;
-                ScriptedTarget::write(socket,
-                                      "HTTP/1.1 503 Busy\r\n" + seal
-                                          + "Request-Id: r1\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n");
-            }
-        });
+        ScriptedTarget target(counting(requests, checks, [&seal] {
+            return "HTTP/1.1 503 Busy\r\n" + seal + "Request-Id: r1\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n";
+        }));
         GatewayFixture fixture;
         fixture.applyRules(Milliseconds(300));
         fixture.applyTargets({ GatewayFixture::targetEntry("t1", target.address()) });
