--- a/Tests/Integration/TestPlannedWork.cpp
+++ b/Tests/Integration/TestPlannedWork.cpp
@@ -337,3 +337,33 @@
     CHECK_FALSE((cutAnswer && cutAnswer.value().status == 200));
     CHECK(verdictOf(cutAnswer) != "not-run");
 }
+
+TEST_CASE("A planned stop lets a caller with a slow link read its answer to the end")
+{
+    // Guards against an answer that is cut while its caller still reads, since the VM stops.
+    const auto deployment = deploymentForPlannedWork();
+    constexpr std::size_t answerBytes = 16'000'000;
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress::IPv4);
+    socket.setReceiveBufferSize(4'096);
+    socket.connect(Poco::Net::SocketAddress(deployment->vm("pampa-a-1").callerAddress));
+    const std::string text = "GET " + statusPath + "?bytes=" + std::to_string(answerBytes)
+        + " HTTP/1.1\r\nHost: status\r\nConnection: close\r\nRequest-Timeout-Ms: 8000\r\nAuthorization: Bearer "
+        + deployment->key(customer) + "\r\n\r\n";
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+    waitForRuns(*deployment, 1);
+    ChildProcess &process = *deployment->vm("pampa-a-1").process;
+    process.terminate();
+    std::this_thread::sleep_for(Milliseconds(2'500));
+    std::vector<char> buffer(65'536);
+    std::string head;
+    std::size_t received = 0;
+    for (int count = 1; count > 0; received += static_cast<std::size_t>(count)) {
+        count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        head.append(buffer.data(), head.empty() ? static_cast<std::size_t>(count) : 0);
+    }
+    CHECK(head.starts_with("HTTP/1.1 200 "));
+    CHECK(received > answerBytes);
+    const auto status = process.wait(after(stopLimit));
+    REQUIRE(status);
+    CHECK(status->code == 0);
+}
