--- a/Libraries/LibGateway/GatewayEvents.h
+++ b/Libraries/LibGateway/GatewayEvents.h
@@ -20,10 +20,10 @@
 inline constexpr EventType crashSuspected { 10017, "crash-suspected", Severity::Warning };
 inline constexpr EventType targetLostRequests { 10018, "target-lost-requests", Severity::Warning };
 inline constexpr EventType targetLimited { 10019, "target-limited", Severity::Info };
+inline constexpr EventType rulesInForce { 10020, "rules-in-force", Severity::Info };
 inline constexpr EventType targetLeaving { 10021, "target-leaving", Severity::Info };
 inline constexpr EventType targetPaused { 10022, "target-paused", Severity::Info };
 inline constexpr EventType targetPauseEnded { 10023, "target-pause-ended", Severity::Info };
-inline constexpr EventType rulesInForce { 10020, "rules-in-force", Severity::Info };
 inline constexpr EventType gatewayStarted { 10030, "gateway-started", Severity::Info };
 inline constexpr EventType gatewayLeaving { 10031, "gateway-leaving", Severity::Info };
 inline constexpr EventType gatewayStopped { 10032, "gateway-stopped", Severity::Info };
--- a/Tests/LibExchange/TestRetryAfter.cpp
+++ b/Tests/LibExchange/TestRetryAfter.cpp
@@ -2,8 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <limits>
-
 using namespace Sapphire;
 
 namespace {
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -199,8 +199,8 @@
     m_deployment.targets().run([&] {
         target.restart();
     });
-    m_born[&target] = ++m_lastBorn;
-    m_deployment.announce(target, "ready", m_lastBorn);
+    m_born[&target] = bornOf(target) + 1;
+    m_deployment.announce(target, "ready", bornOf(target));
 }
 
 int SoakRun::bornOf(const WireTarget &target) const
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -50,7 +50,6 @@
     SoakRecord m_record;
     BootClock m_clock;
     int m_rulesVersion { 1 };
-    int m_lastBorn { 1 }; ///< The latest start of a target.
     std::map<const WireTarget *, int> m_born; ///< The last start of targets that have started again.
     int m_probes { 0 };
 };
--- a/Tests/StandIns/WireTarget/WireTargets.cpp
+++ b/Tests/StandIns/WireTarget/WireTargets.cpp
@@ -5,6 +5,23 @@
 
 namespace Sapphire {
 
+namespace {
+
+/// Returns what all targets have recorded of one kind.
+template<typename Record>
+std::vector<Record> collect(const std::vector<std::unique_ptr<WireTarget>> &targets,
+                            std::vector<Record> (WireTarget::*records)() const)
+{
+    std::vector<Record> all;
+    for (const std::unique_ptr<WireTarget> &target : targets) {
+        const std::vector<Record> ofTarget = (*target.*records)();
+        all.insert(all.end(), ofTarget.begin(), ofTarget.end());
+    }
+    return all;
+}
+
+} // namespace
+
 WireTargets::WireTargets()
 {
     Outcome<std::unique_ptr<EventLoop>> loop = capture([this] {
@@ -49,22 +66,12 @@
 
 std::vector<WireTargetRun> WireTargets::runs() const
 {
-    std::vector<WireTargetRun> all;
-    for (const std::unique_ptr<WireTarget> &target : m_targets) {
-        const std::vector<WireTargetRun> runs = target->runs();
-        all.insert(all.end(), runs.begin(), runs.end());
-    }
-    return all;
+    return collect(m_targets, &WireTarget::runs);
 }
 
 std::vector<WireTargetPause> WireTargets::pauses() const
 {
-    std::vector<WireTargetPause> all;
-    for (const std::unique_ptr<WireTarget> &target : m_targets) {
-        const std::vector<WireTargetPause> pauses = target->pauses();
-        all.insert(all.end(), pauses.begin(), pauses.end());
-    }
-    return all;
+    return collect(m_targets, &WireTarget::pauses);
 }
 
 } // namespace Sapphire
