--- a/review/standins-2/standins.hh
+++ b/review/standins-2/standins.hh
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sched.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -663,6 +664,12 @@
         process = ::fork();
         if (process == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            if (processor >= 0) {
+                cpu_set_t one;
+                CPU_ZERO(&one);
+                CPU_SET(processor, &one);
+                ::sched_setaffinity(0, sizeof one, &one);
+            }
             const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
@@ -725,6 +732,7 @@
     std::string zone;
     std::string region;
     pid_t process { -1 };
+    int processor { -1 }; ///< The only one on which the process runs; any if negative.
 
 private:
     std::string m_folder;
