TestLibEntry: Fill the loop on its own thread, so that it refuses the next task for certain

Cause: the stand-in's adopt() posted tasks until one was refused, while the test's own thread drained the loop.

Change: a task on the loop's thread fills the queue and holds the loop still until the state's task was refused, which shows in its reference count. The test asks for that refusal, so that it can't pass without the disruption. The check and its bound are as they were.

Now the test's thread fills it before the read may end, and waits for the report of the refusal before the loop runs again.

Not run on arm64.

--- a/Tests/LibEntry/RulesRegion.h
+++ b/Tests/LibEntry/RulesRegion.h
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <mutex>
+#include <thread>
 
 namespace Sapphire {
 
@@ -76,21 +78,49 @@
     }
     Result<OperatorState> adopt(const std::string &document) override
     {
+        OperatorState adopted;
+        {
+            const std::lock_guard guard(m_mutex);
+            m_version = std::max<std::uint64_t>(m_version, std::stoull(document));
+            adopted = state();
+        }
         if (fillsLoopOnce.exchange(false)) {
-            while (m_loop.post([] {})) {
-            }
+            fillLoopUntilRefused(adopted);
         }
-        const std::lock_guard guard(m_mutex);
-        m_version = std::max<std::uint64_t>(m_version, std::stoull(document));
-        return state();
+        return adopted;
     }
 
     std::atomic<Mode> mode { Mode::Answering };
     std::atomic<int> calls { 0 };
     std::atomic<int> silentCalls { 0 };
     std::atomic<bool> fillsLoopOnce { false }; ///< The next document is adopted while the loop takes no task.
+    std::atomic<bool> wasRefused { false }; ///< The loop has refused the task with that document's state.
 
 private:
+    /// Ends a test whose tasks are never refused.
+    static constexpr Milliseconds longestHold { 5'000 };
+
+    /// Returns when the loop takes no more tasks. It takes none until the task that holds the state was refused.
+    void fillLoopUntilRefused(const OperatorState &adopted)
+    {
+        m_refusedRules = adopted.rules;
+        auto isFull = std::make_shared<std::promise<void>>();
+        const bool isPosted = m_loop.post([this, isFull] {
+            // On the loop's own thread, so that nothing empties the queue meanwhile, however fast the threads are.
+            while (m_loop.post([] {})) {
+            }
+            isFull->set_value();
+            // A task that was refused is destroyed, and with it the last other reference to its state.
+            const Deadline deadline = Deadline::after(m_loop.clock().now(), longestHold);
+            while (m_refusedRules->use_count() > 1 && !deadline.hasPassed(m_loop.clock().now())) {
+                std::this_thread::sleep_for(Milliseconds(1));
+            }
+            wasRefused = m_refusedRules->use_count() == 1;
+        });
+        if (isPosted) {
+            isFull->get_future().wait_for(longestHold);
+        }
+    }
     std::uint64_t knownVersion() const
     {
         const std::lock_guard guard(m_mutex);
@@ -99,6 +129,9 @@
     OperatorState state() const
     {
         OperatorState state;
+        ServingRules::Content content;
+        content.version = ConfigurationVersion(m_version);
+        state.rules = makeRefCounted<ServingRules>(std::move(content));
         state.evacuatedZones = { AvailabilityZoneId(std::to_string(m_version)) };
         state.document = std::to_string(m_version);
         state.revision = SourceRevision(m_version);
@@ -109,6 +142,7 @@
     EventLoop &m_loop;
     mutable std::mutex m_mutex;
     std::uint64_t m_version { 0 };
+    RefPointer<const ServingRules> m_refusedRules; ///< Of the state whose task the loop is to refuse.
 };
 
 /// The VMs of one availability zone, which exchange their rules by function calls instead of datagrams.
--- a/Tests/LibEntry/TestRulesSpread.cpp
+++ b/Tests/LibEntry/TestRulesSpread.cpp
@@ -74,4 +74,5 @@
     region.follower().source.fillsLoopOnce = true;
     region.store.change();
     CHECK(region.timeUntilInForce(region.follower(), configurationDeadline) < configurationDeadline);
+    CHECK(region.follower().source.wasRefused);
 }
--- a/Tests/LibEntry/TestSharedSourceSynchronizer.cpp
+++ b/Tests/LibEntry/TestSharedSourceSynchronizer.cpp
@@ -63,16 +63,12 @@
     }
 
     Gate updateGate; ///< Before another VM's update is processed.
-    Gate readGate; ///< In a read. After it, the loop takes no task until it runs again.
+    Gate readGate; ///< In a read.
 
 private:
     Result<Task> read(bool) override
     {
         readGate.pass();
-        if (readGate.isReached() && !std::exchange(m_hasFilledLoop, true)) {
-            while (loop().post([] {})) {
-            }
-        }
         if (m_isFailing) {
             return fail(ErrorCode::Unavailable, "the test lets reads fail");
         }
@@ -112,7 +108,6 @@
     std::mutex m_mutex;
     std::optional<SourceUpdate> m_pendingUpdate;
     std::atomic<bool> m_isFailing { false };
-    bool m_hasFilledLoop { false }; ///< Used by the synchronizer's thread only.
     int m_reads { 0 };
 };
 
@@ -178,11 +173,19 @@
         REQUIRE(fixture.runUntil([&] {
             return synchronizer.readGate.isReached();
         }));
+        const int before = synchronizer.reads();
+        // The loop doesn't run from here on, so that its queue stays full until the end of the read was refused.
+        while (fixture.loop->post([] {})) {
+        }
         synchronizer.readGate.open();
-        // The loop doesn't run meanwhile, so that its queue stays full.
-        std::this_thread::sleep_for(5 * shortWait);
+        const Deadline deadline = Deadline::after(fixture.clock.now(), Milliseconds(5'000));
+        while (synchronizer.reads() == before && !deadline.hasPassed(fixture.clock.now())) {
+            synchronizer.check();
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+        REQUIRE(synchronizer.reads() == before + 1);
         CHECK(fixture.runUntil([&] {
-            return synchronizer.reads() > 0;
+            return synchronizer.reads() > before + 1;
         }));
     }
 }
