TestLibNet, TestLibTarget: Wait for the state that a test needs instead of for some time

Cause: four tests slept for 50 or 100 ms until a server had begun a request, had seen its caller leave, or until three or four requests ran at targets. Whether that was so depended on which thread ran first.

Change: they wait for the event itself, or for the end of a round of the loop (finishRound()), or for the stand-in's count of running requests. What is checked after that is the same. That the caller's close is noticed is now asked of the loop's next round instead of within 50 or 100 ms.

--- a/Tests/LibNet/TestHttpServerConnection.cpp
+++ b/Tests/LibNet/TestHttpServerConnection.cpp
@@ -1,3 +1,4 @@
+#include <Fakes/FinishRound.h>
 #include <LibCore/BootClock.h>
 #include <LibNet/HttpListener.h>
 
@@ -5,7 +6,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
+#include <future>
+#include <memory>
 #include <thread>
 
 using namespace Sapphire;
@@ -90,6 +94,17 @@
         socket.setReceiveTimeout(Poco::Timespan(3, 0));
         return socket;
     }
+    EventLoop &loop()
+    {
+        return *m_loop;
+    }
+    /// Waits until the handlers have recorded an event.
+    void waitFor(const std::string &event)
+    {
+        while (!hasRecorded(event)) {
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+    }
     /// Stops the thread and returns what the handlers recorded.
     std::vector<std::string> stop()
     {
@@ -104,6 +119,15 @@
     std::atomic<bool> isLeaving { false };
 
 private:
+    /// Looks on the loop's thread.
+    bool hasRecorded(const std::string &event)
+    {
+        auto found = std::make_shared<std::promise<bool>>();
+        REQUIRE(m_loop->post([this, event, found] {
+            found->set_value(std::find(m_events.begin(), m_events.end(), event) != m_events.end());
+        }));
+        return found->get_future().get();
+    }
     RefPointer<HttpRequestHandler> createHandler() override
     {
         return makeRefCounted<FunctionHandler>(m_answer, m_events);
@@ -209,9 +233,9 @@
     {
         Poco::Net::StreamSocket socket = server.connect();
         send(socket, "GET /slow HTTP/1.1\r\n\r\n");
-        std::this_thread::sleep_for(Milliseconds(50));
+        server.waitFor("begin /slow");
     }
-    std::this_thread::sleep_for(Milliseconds(50));
+    finishRound(server.loop());
     CHECK(server.stop().back() == "gone");
 }
 
@@ -371,9 +395,9 @@
     {
         Poco::Net::StreamSocket socket = server.connect();
         send(socket, "POST /early HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
-        std::this_thread::sleep_for(Milliseconds(50));
+        server.waitFor("begin /early");
         send(socket, std::string(50'000, 'b'));
     }
-    std::this_thread::sleep_for(Milliseconds(100));
+    finishRound(server.loop());
     CHECK(server.stop().back() == "gone");
 }
--- a/Tests/LibTarget/StandInRunner.h
+++ b/Tests/LibTarget/StandInRunner.h
@@ -71,6 +71,20 @@
         return text;
     }
 
+    /// Waits until the targets together run at least the given number of requests.
+    void waitForInFlight(int count) const
+    {
+        const std::string name = "\"inFlight\":";
+        int inFlight = 0;
+        while (inFlight < count) {
+            inFlight = 0;
+            const std::string counters = control("counters");
+            for (std::size_t at = counters.find(name); at != std::string::npos; at = counters.find(name, at + 1)) {
+                inFlight += std::stoi(counters.substr(at + name.size()));
+            }
+        }
+    }
+
 private:
     std::unique_ptr<StandInServer> m_server;
     std::thread m_thread;
--- a/Tests/LibTarget/TestServiceTargets.cpp
+++ b/Tests/LibTarget/TestServiceTargets.cpp
@@ -215,7 +215,7 @@
                 fixture.targets.run(slow, body, sink, { "print-" + std::to_string(i) });
             });
         }
-        std::this_thread::sleep_for(Milliseconds(100));
+        standIn.waitForInFlight(3);
         standIn.control("set?target=" + victim + "&down=1");
         for (std::thread &caller : callers) {
             caller.join();
@@ -241,7 +241,7 @@
             finished += fixture.targets.run(fixture.head("/?sleep=200"), body, sink, {}).refusal ? 0 : 1;
         });
     }
-    std::this_thread::sleep_for(Milliseconds(50));
+    standIn.waitForInFlight(4);
     configuration.targets[TargetId("t0")].isDrained = true;
     fixture.targets.update(configuration, { VmId("vm-1") });
     for (int i = 0; i < 20; ++i) {
