TestLibGateway: Measure the gateway and not the threads of the stand-ins

Cause, by case (entries of KNOWN-RED.txt, seen once each beside heavy load): - "An answer that its target never completes" and "A valid answer without end" asked whether a thread of the stand-in had noticed the end of its connection 50 or 800 ms after. The entry has that thread up to more than 502 ms late. - "A truncated answer", "An answer that ends within its head" and "Bytes after a complete answer" are about what an answer holds, but a route's timeout of 1 s turns an answer of a machine that stands still for longer into a 504.

Change: whether a connection is closed is read from the kernel; the never completed answers' from the next round of the gateway's loop on instead of after 50 ms. The three cases get a timeout of 4 s. The endless target's send buffer has 100,000 bytes. The other two wait for the request, and the endless answer begins when the gateway has seen the caller leave. Checks and bounds are as they were.

--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -113,6 +113,10 @@
     {
         return *m_gateway;
     }
+    EventLoop &loop()
+    {
+        return *m_loop;
+    }
 
     /// Tells the gateway that it is the only VM.
     void applyVms()
--- a/Tests/LibGateway/TestFaultyTargets.cpp
+++ b/Tests/LibGateway/TestFaultyTargets.cpp
@@ -1,8 +1,10 @@
+#include <Fakes/FinishRound.h>
 #include <LibGateway/GatewayFixture.h>
 
 #include <Poco/Net/NetException.h>
 
 #include <array>
+#include <optional>
 
 using namespace Sapphire;
 
@@ -100,19 +102,34 @@
         })
     {
     }
+    ~EndlessTarget()
+    {
+        m_isStopped = true;
+    }
+    EndlessTarget(const EndlessTarget &) = delete;
+    EndlessTarget &operator=(const EndlessTarget &) = delete;
 
     const Poco::Net::SocketAddress &address() const
     {
         return m_target.address();
     }
+    /// Waits until the request that is to be answered without end has arrived.
+    void waitForRequest() const
+    {
+        while (!m_hasRequest) {
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+    }
     /// Waits until the gateway has closed the connection, and returns whether it did so in time.
     bool waitForEnd(Milliseconds time)
     {
+        waitForRequest();
         const auto end = std::chrono::steady_clock::now() + time;
-        while (!m_hasEnded && std::chrono::steady_clock::now() < end) {
+        bool hasEnded = ScriptedTarget::isClosed(*m_request);
+        while (!hasEnded && std::chrono::steady_clock::now() < end) {
             std::this_thread::sleep_for(Milliseconds(5));
+            hasEnded = ScriptedTarget::isClosed(*m_request);
         }
-        const bool hasEnded = m_hasEnded;
         m_isStopped = true;
         return hasEnded;
     }
@@ -121,6 +138,8 @@
         return m_written;
     }
 
+    std::atomic<bool> mayAnswer { true }; ///< Until it is set, no answer begins.
+
 private:
     void serve(Poco::Net::StreamSocket &socket)
     {
@@ -128,6 +147,15 @@
             ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
             return;
         }
+        if (!m_isTaken.exchange(true)) {
+            m_request = socket;
+            m_hasRequest = true;
+        }
+        // By itself the kernel takes megabytes that the gateway doesn't read, and the more, the later its thread runs.
+        socket.setSendBufferSize(sendBufferBytes);
+        while (!mayAnswer && !m_isStopped) {
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
         try {
             ScriptedTarget::write(socket, m_begin);
             while (!m_isStopped) {
@@ -135,14 +163,21 @@
                 m_written += m_repeated.size();
             }
         } catch (const Poco::Exception &) {
-            m_hasEnded = true;
+            // The gateway has closed the connection. The test still looks at it.
+            while (!m_isStopped) {
+                std::this_thread::sleep_for(Milliseconds(1));
+            }
         }
     }
 
+    static constexpr int sendBufferBytes = 100'000;
+
     std::string m_begin;
     std::string m_repeated;
     std::atomic<std::size_t> m_written { 0 };
-    std::atomic<bool> m_hasEnded { false };
+    std::atomic<bool> m_isTaken { false };
+    std::optional<Poco::Net::StreamSocket> m_request; ///< The connection of the first request; set before the flag.
+    std::atomic<bool> m_hasRequest { false };
     std::atomic<bool> m_isStopped { false };
     ScriptedTarget m_target;
 };
@@ -256,7 +291,7 @@
         std::future<CallerAnswer> booking = std::async(std::launch::async, [&] {
             return fixture.call("POST", "/book/a");
         });
-        std::this_thread::sleep_for(Milliseconds(20));
+        faulty.waitForRequest();
         fixture.applyTargets(
             { fixture.targetEntry("t1", faulty.address()), fixture.targetEntry("t2", sound.address()) });
         CHECK(fixture.call("GET", "/read/a").body == "sound");
@@ -313,13 +348,18 @@
 {
     // Guards against a connection that a target keeps busy for ever, since nobody waits for the answer any more.
     EndlessTarget target("HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: r1\r\n\r\n", filler);
+    target.mayAnswer = false;
     GatewayFixture fixture;
     fixture.applyRules(Milliseconds(500));
     fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
     {
         Poco::Net::StreamSocket socket = fixture.connect();
         GatewayFixture::send(socket, "POST /book/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n");
-        std::this_thread::sleep_for(Milliseconds(5));
+        target.waitForRequest();
     }
+    // The gateway has seen the caller's close then.
+    finishRound(fixture.loop());
+    target.mayAnswer = true;
     CHECK(target.waitForEnd(Milliseconds(2'000)));
+    CHECK(target.written() > 0);
 }
--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -2,6 +2,14 @@
 
 using namespace Sapphire;
 
+namespace {
+
+// A route's timeout for tests of what an answer holds, not of when it comes. A machine that stands still for longer
+// than the timeout turns each answer into a refusal. Less than the time for which the caller waits.
+constexpr Milliseconds ampleTimeout { 4'000 };
+
+} // namespace
+
 TEST_CASE("A request reaches its target unchanged except for connection headers and the gateway's own headers")
 {
     // Guards against changed requests, keys that reach targets, and callers that pass as another customer.
@@ -65,7 +73,7 @@
     ScriptedTarget first(cutting);
     ScriptedTarget second(cutting);
     GatewayFixture fixture;
-    fixture.applyRules();
+    fixture.applyRules(ampleTimeout);
     fixture.applyTargets({ fixture.targetEntry("t1", first.address()), fixture.targetEntry("t2", second.address()) });
     const CallerAnswer answer = fixture.call("GET", "/read/a");
     CHECK(answer.status == 200);
@@ -157,7 +165,7 @@
         return soundAnswer("own") + soundAnswer("extra");
     }));
     GatewayFixture fixture;
-    fixture.applyRules();
+    fixture.applyRules(ampleTimeout);
     fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
     for (int i = 0; i < 3; ++i) {
         CHECK(fixture.call("GET", "/read/a").body == "own");
@@ -274,7 +282,7 @@
                 ScriptedTarget::write(socket, head.substr(0, cut));
             });
             GatewayFixture fixture;
-            fixture.applyRules();
+            fixture.applyRules(ampleTimeout);
             fixture.applyTargets({ fixture.targetEntry("t1", target.address()) });
             CAPTURE(framing);
             CAPTURE(cut);
--- a/Tests/LibGateway/TestUnfinishedAnswers.cpp
+++ b/Tests/LibGateway/TestUnfinishedAnswers.cpp
@@ -1,5 +1,9 @@
+#include <Fakes/FinishRound.h>
 #include <LibGateway/GatewayFixture.h>
 
+#include <algorithm>
+#include <mutex>
+
 using namespace Sapphire;
 
 namespace {
@@ -21,14 +25,27 @@
     {
     }
 
+    ~UnfinishedTarget()
+    {
+        m_isOver = true;
+    }
+    UnfinishedTarget(const UnfinishedTarget &) = delete;
+    UnfinishedTarget &operator=(const UnfinishedTarget &) = delete;
+
     const Poco::Net::SocketAddress &address() const
     {
         return m_target.address();
     }
-    /// How many requests' connections the gateway has closed.
-    int dropped() const
+    std::size_t requests() const
     {
-        return m_dropped;
+        const std::lock_guard guard(m_mutex);
+        return m_requests.size();
+    }
+    /// Returns whether the gateway has closed the connections of all requests.
+    bool isDropped() const
+    {
+        const std::lock_guard guard(m_mutex);
+        return std::all_of(m_requests.begin(), m_requests.end(), ScriptedTarget::isClosed);
     }
 
 private:
@@ -38,22 +55,29 @@
         if (head.starts_with("GET /health ") || head.empty()) {
             return;
         }
+        {
+            const std::lock_guard guard(m_mutex);
+            m_requests.push_back(socket);
+        }
         try {
             ScriptedTarget::write(socket, m_begin);
-            while (!socket.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
+            while (!m_isOver && !socket.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
                 ScriptedTarget::write(socket, m_repeated);
             }
-            char byte = 0;
-            socket.receiveBytes(&byte, 1);
         } catch (const Poco::Exception &) {
             // The gateway has reset the connection.
         }
-        ++m_dropped;
+        // The test still looks at the connection.
+        while (!m_isOver) {
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
     }
 
     std::string m_begin;
     std::string m_repeated;
-    std::atomic<int> m_dropped { 0 };
+    std::atomic<bool> m_isOver { false };
+    mutable std::mutex m_mutex;
+    std::vector<Poco::Net::StreamSocket> m_requests; ///< Their connections.
     ScriptedTarget m_target;
 };
 
@@ -104,8 +128,11 @@
             CHECK(since(begin) >= routeTimeout - Milliseconds(10));
             CHECK(since(begin) < routeTimeout + longestLateness);
             CHECK((received.isCut || received.status == 504));
-            std::this_thread::sleep_for(Milliseconds(50));
-            CHECK(target.dropped() == 1);
+            // The gateway closes the target's connection when it ends the answer, at the latest in the next round of
+            // its loop.
+            finishRound(fixture.loop());
+            CHECK(target.requests() == 1);
+            CHECK(target.isDropped());
         }
     }
 }
--- a/Tests/LibTarget/ScriptedTarget.h
+++ b/Tests/LibTarget/ScriptedTarget.h
@@ -63,6 +63,12 @@
         }
         return text;
     }
+    /// Returns whether the other side has closed or reset a connection on which nothing else is left to read. The
+    /// kernel knows at once, whereas a script notices when its thread runs next.
+    static bool isClosed(const Poco::Net::StreamSocket &socket)
+    {
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
     static void write(Poco::Net::StreamSocket &socket, const std::string &text)
     {
         socket.sendBytes(text.data(), static_cast<int>(text.size()));
