LibCore, LibSteering, platform: Read an address once, by one reader

Cause: the check of an entry took leading zeros, the text was kept, and POCO read it again as octal or as a host name, on the event loop's thread, and threw. Ruled out: the row's JSON and numbers, which are logged and skipped.

Change: Ipv4Endpoint, made by one parser that takes one spelling, in place of texts in entries of targets, records of VMs, updates between VMs and settings.

The same cause on related paths: rows of the list of VMs were not checked at all, updates from other VMs as little as rows, the settings file took host names. Two copies of an IPv4 parser became one.

--- a/Libraries/LibConfiguration/ApplyCommand.cpp
+++ b/Libraries/LibConfiguration/ApplyCommand.cpp
@@ -1,5 +1,7 @@
 #include <LibConfiguration/ApplyCommand.h>
 
+#include <LibCore/Ipv4Endpoint.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -49,24 +51,6 @@
     return value;
 }
 
-std::optional<std::uint32_t> addressFrom(std::string_view text)
-{
-    std::uint32_t address = 0;
-    for (int part = 0; part < 4; ++part) {
-        const std::size_t dot = part < 3 ? text.find('.') : text.size();
-        if (dot == std::string_view::npos) {
-            return std::nullopt;
-        }
-        const auto value = numberFrom(text.substr(0, dot), 255);
-        if (!value) {
-            return std::nullopt;
-        }
-        address = (address << 8U) | *value;
-        text.remove_prefix(std::min(dot + 1, text.size()));
-    }
-    return address;
-}
-
 Result<void> checkText(std::string_view kind, const std::string &text, std::size_t longest,
                        std::string_view extraCharacters)
 {
@@ -399,27 +383,24 @@
 
 bool isAddressPrefix(const std::string &text)
 {
-    const std::size_t slash = text.find('/');
-    if (slash == std::string::npos) {
+    std::string_view left = text;
+    const std::optional<Ipv4Address> address = takeIpv4Address(left);
+    if (!address || !left.starts_with('/')) {
         return false;
     }
-    const auto address = addressFrom(std::string_view(text).substr(0, slash));
-    const auto bits = numberFrom(std::string_view(text).substr(slash + 1), 32);
-    if (!address || !bits) {
+    const auto bits = numberFrom(left.substr(1), 32);
+    if (!bits) {
         return false;
     }
     const std::uint64_t hostMask = (std::uint64_t { 1 } << (32U - *bits)) - 1;
-    return (*address & hostMask) == 0;
+    return (address->value() & hostMask) == 0;
 }
 
 bool isAddressWithPort(const std::string &text)
 {
-    const std::size_t colon = text.find(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    const auto port = numberFrom(std::string_view(text).substr(colon + 1), 65535);
-    return addressFrom(std::string_view(text).substr(0, colon)).has_value() && port && *port > 0;
+    return static_cast<bool>(capture([&text] {
+        return Ipv4Endpoint::parse(text);
+    }));
 }
 
 } // namespace Sapphire
--- a/Libraries/LibDaemon/DaemonSettings.cpp
+++ b/Libraries/LibDaemon/DaemonSettings.cpp
@@ -1,5 +1,6 @@
 #include <LibDaemon/DaemonSettings.h>
 
+#include <LibCore/Ipv4Endpoint.h>
 #include <LibSteering/ClientBlocks.h>
 
 #include <fstream>
@@ -16,13 +17,9 @@
 
 bool isEndpoint(const std::string &text)
 {
-    const std::size_t colon = text.find(':');
-    if (colon == std::string::npos || !AddressPrefix::parse(text.substr(0, colon))) {
-        return false;
-    }
-    const std::string port = text.substr(colon + 1);
-    return !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos
-        && std::stol(port) <= highestPort;
+    return static_cast<bool>(capture([&text] {
+        return Ipv4Endpoint::parse(text);
+    }));
 }
 
 std::string readEndpoint(SettingsReader &reader, const std::string &name)
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -1,6 +1,7 @@
 #include <LibEntry/EntryDaemon.h>
 
 #include <LibEntry/EntryEvents.h>
+#include <LibNet/SocketAddresses.h>
 
 #include <algorithm>
 #include <utility>
@@ -122,13 +123,14 @@
     gauge("sapphire_peer_documents_lost", &PeerStatistics::lostDocuments);
 }
 
-Result<std::unique_ptr<SimpleHttpServer>> EntryDaemon::serve(const std::string &address, const std::string &path,
+Result<std::unique_ptr<SimpleHttpServer>> EntryDaemon::serve(const std::optional<Ipv4Endpoint> &address,
+                                                             const std::string &path,
                                                              std::function<SimpleAnswer()> answer)
 {
-    if (address.empty()) {
+    if (!address) {
         return nullptr;
     }
-    return SimpleHttpServer::create(*m_loop, Poco::Net::SocketAddress(address),
+    return SimpleHttpServer::create(*m_loop, socketAddressOf(*address),
                                     { { path, [answer = std::move(answer)](const HttpHead &) {
                                            return answer();
                                        } } });
@@ -312,10 +314,10 @@
 {
     std::vector<std::string> addresses;
     for (const VmRecord &vm : m_roster.serving(m_loop->now())) {
-        addresses.push_back(vm.callerAddress);
+        addresses.push_back(vm.callerAddress.text());
     }
     if (addresses.empty()) {
-        addresses.push_back(m_own.callerAddress);
+        addresses.push_back(m_own.callerAddress.text());
     }
     return m_adapter.writeLookUp(addresses, lookUpTimeToLive);
 }
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -48,7 +48,7 @@
 
     [[nodiscard]] Result<void> startServers();
     /// Starts a server that answers one path at an address; returns null if the address is empty.
-    Result<std::unique_ptr<SimpleHttpServer>> serve(const std::string &address, const std::string &path,
+    Result<std::unique_ptr<SimpleHttpServer>> serve(const std::optional<Ipv4Endpoint> &address, const std::string &path,
                                                     std::function<SimpleAnswer()> answer);
     void registerPeerMetrics();
     void startSynchronizers();
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -3,17 +3,20 @@
 #include <LibCore/BytesPerSecond.h>
 #include <LibGateway/GatewaySettings.h>
 
+#include <optional>
+#include <string>
+
 namespace Sapphire {
 
 /// Settings of a VM that gets its rules and its target list from a platform.
 struct EntrySettings
 {
     GatewaySettings gateway;
-    std::string platformAddress; ///< "ip:port" of the platform's store.
-    std::string peerAddress; ///< "ip:port" for datagrams of other VMs.
-    std::string readinessAddress; ///< "ip:port" for the platform's readiness checks; empty for none.
-    std::string lookUpAddress; ///< "ip:port" for look-ups, by which callers find VMs; empty for none.
-    std::string metricsAddress; ///< "ip:port"; empty for none.
+    Ipv4Endpoint platformAddress; ///< Of the platform's store.
+    Ipv4Endpoint peerAddress; ///< For datagrams of other VMs.
+    std::optional<Ipv4Endpoint> readinessAddress; ///< For the platform's readiness checks.
+    std::optional<Ipv4Endpoint> lookUpAddress; ///< For look-ups, by which callers find VMs.
+    std::optional<Ipv4Endpoint> metricsAddress;
     bool isFirstStart { false }; ///< The whole deployment starts for the first time.
     double processorShare { 1 }; ///< The part of a core that this VM may use.
     BytesPerSecond linkRate { 1'250'000 }; ///< Of this VM's link.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Duration.h>
 #include <LibGateway/GatewayEvents.h>
 #include <LibGateway/RefusalAnswer.h>
+#include <LibNet/SocketAddresses.h>
 
 #include <algorithm>
 #include <cmath>
@@ -84,7 +85,7 @@
 
 Result<std::unique_ptr<Gateway>> Gateway::create(EventLoop &loop, GatewaySettings settings, Metrics &metrics)
 {
-    const Poco::Net::SocketAddress address(settings.callerAddress);
+    const Poco::Net::SocketAddress address = socketAddressOf(settings.callerAddress);
     std::unique_ptr<Gateway> gateway(new Gateway(loop, std::move(settings), metrics));
     BOOST_LEAF_ASSIGN(gateway->m_listener, HttpListener::create(loop, address, *gateway, *gateway));
     logEvent(GatewayEvents::gatewayStarted, { { "vm", gateway->m_settings.vm }, { "address", address.toString() } });
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibCore/Ipv4Endpoint.h>
 #include <LibGateway/WireNames.h>
 #include <LibSteering/ColdStartLimiter.h>
 #include <LibSteering/CustomerQuota.h>
 #include <LibSteering/RatioBudget.h>
 
 #include <map>
-#include <string>
 
 namespace Sapphire {
 
@@ -17,7 +17,7 @@
     VmId vm;
     Locality locality;
     std::map<AvailabilityZoneId, RegionId> regionsByZone;
-    std::string callerAddress; ///< "ip:port" on which callers' requests are accepted.
+    Ipv4Endpoint callerAddress; ///< On which callers' requests are accepted.
     WireNames names;
     Milliseconds stopTimeout { 6'000 }; ///< From the signal to stop to the end of the process.
     RatioBudgetSettings retryBudget { 0.2, 0, Milliseconds(10'000) }; ///< For all VMs together.
--- a/Libraries/LibGateway/GatewayTarget.cpp
+++ b/Libraries/LibGateway/GatewayTarget.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/GatewayTarget.h>
 
 #include <LibCore/Hash.h>
+#include <LibNet/SocketAddresses.h>
 
 #include <algorithm>
 
@@ -28,7 +29,7 @@
     , m_locality(std::move(locality))
     , m_notices(std::move(notices))
     , m_toCheck(toCheck)
-    , m_address(m_entry.address)
+    , m_address(socketAddressOf(m_entry.address))
     , m_load(m_entry.slots)
     , m_coldUntil(m_entry.coldUntil)
 {
@@ -45,7 +46,7 @@
         closeIdle(true);
     }
     if (isMoved) {
-        m_address = Poco::Net::SocketAddress(entry.address);
+        m_address = socketAddressOf(entry.address);
     }
     if (entry.slots != m_entry.slots) {
         m_load.setSlots(entry.slots);
--- a/Libraries/LibGateway/HealthChecker.cpp
+++ b/Libraries/LibGateway/HealthChecker.cpp
@@ -50,8 +50,8 @@
         }
         m_session = std::move(session.value());
         m_timer.start(Deadline::after(m_checker.m_loop.now(), longestCheck));
-        m_session->begin(*this, "GET " + path + " HTTP/1.1\r\nHost: " + m_target->entry().address + "\r\n\r\n", {},
-                         false);
+        m_session->begin(*this, "GET " + path + " HTTP/1.1\r\nHost: " + m_target->entry().address.text() + "\r\n\r\n",
+                         {}, false);
     }
 
 private:
--- a/Libraries/LibGateway/TargetRegistry.cpp
+++ b/Libraries/LibGateway/TargetRegistry.cpp
@@ -49,7 +49,7 @@
              { { "target", entry.id },
                { "service", entry.service },
                { "zone", entry.availabilityZone },
-               { "address", entry.address },
+               { "address", entry.address.text() },
                { "draining", entry.isDraining },
                { "leaving", notices->isLeaving() },
                { "coldMilliseconds",
@@ -66,7 +66,7 @@
                    { "draining", entry.isDraining },
                    { "restarted", isRestarted },
                    { "wasLeaving", target.notices().isLeaving() },
-                   { "address", entry.address },
+                   { "address", entry.address.text() },
                    { "sequence", entry.sequence } });
     }
     target.update(entry);
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Duration.h>
 #include <LibCore/Hash.h>
+#include <LibNet/SocketAddresses.h>
 #include <LibPeer/CrashSuspectCodec.h>
 #include <LibPeer/DemandCodec.h>
 #include <LibPeer/PeerEvents.h>
@@ -70,7 +71,7 @@
 {
     std::unique_ptr<PeerNetwork> network(new PeerNetwork(loop, own, roster, quotas, documentRate));
     BOOST_LEAF_ASSIGN(network->m_socket,
-                      PeerSocket::create(loop, Poco::Net::SocketAddress(own.peerAddress),
+                      PeerSocket::create(loop, socketAddressOf(own.peerAddress),
                                          [raw = network.get()](const auto &sender, std::string_view bytes) {
                                              raw->receive(sender, bytes);
                                          }));
@@ -165,13 +166,13 @@
 {
     const std::string bytes = encode(datagram);
     for (const VmRecord &peer : peers) {
-        m_socket->send(Poco::Net::SocketAddress(peer.peerAddress), bytes);
+        m_socket->send(socketAddressOf(peer.peerAddress), bytes);
     }
 }
 
 void PeerNetwork::sendPaced(const VmRecord &peer, const peer::Datagram &datagram)
 {
-    m_documentPacer.send(Poco::Net::SocketAddress(peer.peerAddress), encode(datagram));
+    m_documentPacer.send(socketAddressOf(peer.peerAddress), encode(datagram));
 }
 
 std::string PeerNetwork::encode(const peer::Datagram &datagram) const
@@ -243,7 +244,7 @@
         m_onUnknownSender();
         return;
     }
-    if (record->peerAddress != sender.toString() || datagram.started() < record->startedAtMilliseconds) {
+    if (record->peerAddress != endpointOf(sender) || datagram.started() < record->startedAtMilliseconds) {
         return;
     }
     const VmRecord peer = *record;
--- a/Libraries/LibPeer/SourceUpdateCodec.cpp
+++ b/Libraries/LibPeer/SourceUpdateCodec.cpp
@@ -10,7 +10,7 @@
 {
     message.set_id(target.id.text());
     message.set_service(target.service.text());
-    message.set_address(target.address);
+    message.set_address(target.address.text());
     message.set_zone(target.availabilityZone.text());
     message.set_slots(static_cast<std::uint32_t>(target.slots));
     message.set_is_draining(target.isDraining);
@@ -19,19 +19,25 @@
     message.set_sequence(target.sequence);
 }
 
-TargetListEntry decodeTarget(const peer::Target &message, TimePoint now)
+std::optional<TargetListEntry> decodeTarget(const peer::Target &message, TimePoint now)
 {
+    const Outcome<Ipv4Endpoint> address = capture([&message] {
+        return Ipv4Endpoint::parse(message.address());
+    });
+    if (!address) {
+        return std::nullopt;
+    }
     TargetListEntry target;
     target.id = TargetId(message.id());
     target.service = ServiceId(message.service());
-    target.address = message.address();
+    target.address = address.value();
     target.availabilityZone = AvailabilityZoneId(message.zone());
     target.slots = static_cast<int>(message.slots());
     target.isDraining = message.is_draining();
     target.coldUntil = now + Milliseconds(message.cold_left());
     target.startedAtMilliseconds = message.started();
     target.sequence = message.sequence();
-    return target;
+    return target.invalidMember().empty() ? std::optional(target) : std::nullopt;
 }
 
 } // namespace
@@ -73,10 +79,11 @@
     update.change.base = message.base();
     update.change.digest = message.digest();
     for (const peer::Target &target : message.changed()) {
-        update.change.changed.push_back(decodeTarget(target, now));
-        if (!update.change.changed.back().invalidMember().empty()) {
+        std::optional<TargetListEntry> changed = decodeTarget(target, now);
+        if (!changed) {
             return std::nullopt;
         }
+        update.change.changed.push_back(std::move(*changed));
     }
     for (const std::string &id : message.removed()) {
         update.change.removed.emplace_back(id);
--- a/Libraries/LibPeer/TargetSyncReplyCodec.cpp
+++ b/Libraries/LibPeer/TargetSyncReplyCodec.cpp
@@ -2,12 +2,11 @@
 
 #include <LibPeer/WireTimes.h>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-
 #include <cstring>
 #include <map>
 
+#include <arpa/inet.h>
+
 namespace Sapphire {
 
 namespace {
@@ -15,6 +14,7 @@
 // Below the usual MTU (1500 bytes), with space for the rest of the datagram.
 constexpr std::size_t mostBytesPerMessage = 1'250;
 constexpr std::size_t ipv4Bytes = 4;
+constexpr std::uint32_t mostPort = 65'535;
 
 /// Encodes targets. Each message holds the name of a service or zone once; targets refer to it by index.
 class Encoder
@@ -83,11 +83,11 @@
         return entry->second;
     }
 
-    static void encodeAddress(const std::string &address, peer::ShortTarget &wire)
+    static void encodeAddress(const Ipv4Endpoint &address, peer::ShortTarget &wire)
     {
-        const Poco::Net::SocketAddress parsed(address);
-        wire.set_ip(static_cast<const char *>(parsed.host().addr()), static_cast<std::size_t>(parsed.host().length()));
-        wire.set_port(parsed.port());
+        const std::uint32_t ip = htonl(address.address().value());
+        wire.set_ip(&ip, sizeof ip);
+        wire.set_port(address.port());
     }
 
     const TargetSyncReply &m_reply;
@@ -101,16 +101,18 @@
                                             TimePoint now)
 {
     const bool isValid = static_cast<int>(wire.service()) < message.services_size()
-        && static_cast<int>(wire.zone()) < message.zones_size() && wire.ip().size() == ipv4Bytes && wire.slots() > 0;
+        && static_cast<int>(wire.zone()) < message.zones_size() && wire.ip().size() == ipv4Bytes
+        && wire.port() <= mostPort && wire.slots() > 0;
     if (!isValid) {
         return std::nullopt;
     }
-    const Poco::Net::IPAddress ip(wire.ip().data(), static_cast<poco_socklen_t>(wire.ip().size()));
+    std::uint32_t ip = 0;
+    std::memcpy(&ip, wire.ip().data(), sizeof ip);
     TargetListEntry target;
     target.id = TargetId(wire.id());
     target.service = ServiceId(message.services(static_cast<int>(wire.service())));
     target.availabilityZone = AvailabilityZoneId(message.zones(static_cast<int>(wire.zone())));
-    target.address = ip.toString() + ":" + std::to_string(wire.port());
+    target.address = Ipv4Endpoint(Ipv4Address(ntohl(ip)), static_cast<std::uint16_t>(wire.port()));
     target.slots = static_cast<int>(wire.slots());
     target.isDraining = wire.is_draining();
     target.coldUntil = now + Milliseconds(wire.cold_left());
--- a/Libraries/LibPlatform/PlatformChannel.cpp
+++ b/Libraries/LibPlatform/PlatformChannel.cpp
@@ -1,9 +1,8 @@
 #include <LibPlatform/PlatformChannel.h>
 
+#include <LibNet/SocketAddresses.h>
 #include <LibPlatform/PlatformEvents.h>
 
-#include <Poco/Exception.h>
-
 namespace Sapphire {
 
 namespace {
@@ -21,20 +20,13 @@
 
 Result<std::unique_ptr<PlatformChannel>> PlatformChannel::create(const PlatformClientSettings &settings)
 {
-    const std::size_t colon = settings.address.rfind(':');
-    Poco::Net::IPAddress ip;
-    if (colon == std::string::npos || !Poco::Net::IPAddress::tryParse(settings.address.substr(0, colon), ip)) {
-        return fail(ErrorCode::InvalidArgument,
-                    "platform address: found \"" + settings.address + "\", expected \"ip:port\"");
-    }
-    try {
-        const Poco::Net::SocketAddress address(settings.address);
-        return std::unique_ptr<PlatformChannel>(new PlatformChannel(settings, address));
-    } catch (const Poco::Exception &exception) {
-        return fail(ErrorCode::InvalidArgument,
-                    "platform address: found \"" + settings.address
-                        + "\", expected \"ip:port\": " + exception.displayText());
+    const Outcome<Ipv4Endpoint> address = capture([&settings] {
+        return Ipv4Endpoint::parse(settings.address);
+    });
+    if (!address) {
+        return fail(ErrorCode::InvalidArgument, "platform address: " + address.error().message);
     }
+    return std::unique_ptr<PlatformChannel>(new PlatformChannel(settings, socketAddressOf(address.value())));
 }
 
 Result<PlatformAnswer> PlatformChannel::call(const PlatformRequest &request, Deadline deadline)
--- a/Libraries/LibPlatform/VmListText.cpp
+++ b/Libraries/LibPlatform/VmListText.cpp
@@ -1,10 +1,9 @@
 #include <LibPlatform/VmListText.h>
 
 #include <LibCore/EventLog.h>
+#include <LibCore/Ipv4Endpoint.h>
 #include <LibPlatform/MalformedAnswer.h>
 
-#include <Poco/Net/IPAddress.h>
-
 namespace Sapphire {
 
 namespace {
@@ -40,9 +39,10 @@
     ListedVm vm;
     vm.vm = VmId(reader.requiredText("id"));
     vm.endpoints.address = reader.requiredText("address");
-    Poco::Net::IPAddress ip;
-    if (!vm.endpoints.address.empty() && !Poco::Net::IPAddress::tryParse(vm.endpoints.address, ip)) {
-        reader.reject("address", vm.endpoints.address, "an IP address");
+    std::string_view address = vm.endpoints.address;
+    const bool isAddress = takeIpv4Address(address) && address.empty();
+    if (!vm.endpoints.address.empty() && !isAddress) {
+        reader.reject("address", vm.endpoints.address, "an IPv4 address");
     }
     vm.locality.region = RegionId(reader.requiredText("region"));
     vm.locality.availabilityZone = AvailabilityZoneId(reader.requiredText("availabilityZone"));
--- a/Libraries/LibSteering/ClientBlocks.cpp
+++ b/Libraries/LibSteering/ClientBlocks.cpp
@@ -1,5 +1,7 @@
 #include <LibSteering/ClientBlocks.h>
 
+#include <LibCore/Ipv4Endpoint.h>
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -38,19 +40,11 @@
 std::optional<AddressPrefix> AddressPrefix::parse(std::string_view text)
 {
     AddressPrefix prefix;
-    for (int octet = 0; octet < 4; ++octet) {
-        if (octet > 0) {
-            if (text.empty() || text.front() != '.') {
-                return std::nullopt;
-            }
-            text.remove_prefix(1);
-        }
-        const std::optional<std::uint32_t> number = takeNumber(text, 255);
-        if (!number) {
-            return std::nullopt;
-        }
-        prefix.address = (prefix.address << 8U) | *number;
+    const std::optional<Ipv4Address> address = takeIpv4Address(text);
+    if (!address) {
+        return std::nullopt;
     }
+    prefix.address = address->value();
     prefix.bits = addressBits;
     if (!text.empty()) {
         if (text.front() != '/') {
--- a/Libraries/LibSteering/TargetList.cpp
+++ b/Libraries/LibSteering/TargetList.cpp
@@ -16,7 +16,7 @@
 
 std::uint64_t hashOf(const TargetListEntry &target)
 {
-    return stableHash(target.id.text() + "\n" + target.service.text() + "\n" + target.address + "\n"
+    return stableHash(target.id.text() + "\n" + target.service.text() + "\n" + target.address.text() + "\n"
                       + target.availabilityZone.text() + "\n" + std::to_string(target.slots) + "\n"
                       + std::to_string(static_cast<int>(target.isDraining)) + "\n"
                       + std::to_string(target.startedAtMilliseconds));
--- a/Libraries/LibSteering/TargetListEntry.h
+++ b/Libraries/LibSteering/TargetListEntry.h
@@ -2,9 +2,9 @@
 
 #include <LibCore/Deadline.h>
 #include <LibCore/Ids.h>
+#include <LibCore/Ipv4Endpoint.h>
 
 #include <cstdint>
-#include <string>
 #include <string_view>
 
 namespace Sapphire {
@@ -14,7 +14,7 @@
 {
     TargetId id;
     ServiceId service;
-    std::string address; ///< "ip:port".
+    Ipv4Endpoint address;
     AvailabilityZoneId availabilityZone;
     int slots { 1 }; ///< Requests that it runs at once.
     bool isDraining { false };
--- a/Libraries/LibSteering/VmRecord.h
+++ b/Libraries/LibSteering/VmRecord.h
@@ -2,9 +2,9 @@
 
 #include <LibCore/Deadline.h>
 #include <LibCore/Ids.h>
+#include <LibCore/Ipv4Endpoint.h>
 
 #include <cstdint>
-#include <string>
 
 namespace Sapphire {
 
@@ -13,8 +13,8 @@
 {
     VmId vm;
     Locality locality;
-    std::string callerAddress; ///< "ip:port".
-    std::string peerAddress; ///< "ip:port" for datagrams from other VMs.
+    Ipv4Endpoint callerAddress;
+    Ipv4Endpoint peerAddress; ///< For datagrams from other VMs.
     std::int64_t startedAtMilliseconds { 0 }; ///< Unix time at which its process started.
     /// Duration of a call to the platform, measured when its process started; zero if unknown.
     Microseconds platformRoundTrip {};
--- a/Libraries/LibTarget/ServiceTargets.cpp
+++ b/Libraries/LibTarget/ServiceTargets.cpp
@@ -1,6 +1,7 @@
 #include <LibTarget/ServiceTargets.h>
 
 #include <LibCore/Duration.h>
+#include <LibNet/SocketAddresses.h>
 #include <LibTarget/DeathProbe.h>
 #include <LibTarget/LibTargetEvents.h>
 
@@ -101,14 +102,15 @@
 
 RefPointer<TargetClient> ServiceTargets::makeTargetClient(const TargetRecord &record, int connectionLimit) const
 {
-    try {
-        const Poco::Net::SocketAddress address(record.address);
-        return makeRefCounted<TargetClient>(record.id, record.locality, m_settings.ownVm, address, connectionLimit,
-                                            m_clock);
-    } catch (const Poco::Exception &) {
+    const Outcome<Ipv4Endpoint> address = capture([&record] {
+        return Ipv4Endpoint::parse(record.address);
+    });
+    if (!address) {
         logEvent(TargetEvents::targetAddressInvalid, { { "target", record.id }, { "address", record.address } });
         return nullptr;
     }
+    return makeRefCounted<TargetClient>(record.id, record.locality, m_settings.ownVm, socketAddressOf(address.value()),
+                                        connectionLimit, m_clock);
 }
 
 RefPointer<ServiceTargets::Service> ServiceTargets::find(const ServiceId &id) const
--- a/Services/SapphireEntry/main.cpp
+++ b/Services/SapphireEntry/main.cpp
@@ -115,7 +115,7 @@
     configureEventLog({ {}, Severity::Info, true });
     const BootClock clock;
     const Outcome<std::unique_ptr<Platform::StoreClient>> client = capture([&] {
-        return Platform::StoreClient::create(settings.platformAddress);
+        return Platform::StoreClient::create(settings.platformAddress.text());
     });
     if (!client) {
         std::cerr << "sapphire-entry: " << client.error().message << '\n';
--- a/Tests/LibEntry/TestTargetListSynchronizer.cpp
+++ b/Tests/LibEntry/TestTargetListSynchronizer.cpp
@@ -1,3 +1,4 @@
+#include <Fakes/EndpointText.h>
 #include <LibEntry/EntryEvents.h>
 #include <LibEntry/SynchronizerFixture.h>
 #include <LibEntry/TargetListSynchronizer.h>
@@ -14,7 +15,7 @@
     TargetListEntry result;
     result.id = TargetId(id);
     result.service = ServiceId("s");
-    result.address = "127.0.0.1:1";
+    result.address = endpoint("127.0.0.1:1");
     result.availabilityZone = AvailabilityZoneId("cuyo-a");
     result.slots = 4;
     return result;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -3,6 +3,7 @@
 #include <LibCore/BootClock.h>
 #include <LibCore/Hash.h>
 #include <LibGateway/Gateway.h>
+#include <LibNet/SocketAddresses.h>
 #include <LibTarget/ScriptedTarget.h>
 
 #include <doctest/doctest.h>
@@ -38,7 +39,7 @@
         settings.locality = { RegionId("cuyo"), AvailabilityZoneId("cuyo-a") };
         settings.regionsByZone = { { AvailabilityZoneId("cuyo-a"), RegionId("cuyo") },
                                    { AvailabilityZoneId("pampa-a"), RegionId("pampa") } };
-        settings.callerAddress = "127.0.0.1:0";
+        settings.callerAddress = Ipv4Endpoint(Ipv4Address(0x7f000001), 0);
         settings.names = names();
         settings.stopTimeout = Milliseconds(1'000);
         settings.retryBudget = { 0.2, 20, Milliseconds(10'000) };
@@ -167,7 +168,7 @@
         TargetListEntry target;
         target.id = TargetId(id);
         target.service = ServiceId("s");
-        target.address = address.toString();
+        target.address = endpointOf(address).value();
         target.availabilityZone = AvailabilityZoneId(zone);
         target.slots = 4;
         return target;
--- a/Tests/LibGateway/TestTargetNotices.cpp
+++ b/Tests/LibGateway/TestTargetNotices.cpp
@@ -87,7 +87,7 @@
 
     // The id is used again by a later start.
     entry.startedAtMilliseconds = 1;
-    entry.address = successor.address().toString();
+    entry.address = endpointOf(successor.address()).value();
     fixture.applyTargets({ entry });
     CHECK(fixture.call("GET", "/read/a").body == "successor");
 }
--- a/Tests/LibPeer/PeerVms.h
+++ b/Tests/LibPeer/PeerVms.h
@@ -2,6 +2,7 @@
 
 #include <LibPeer/PeerNetwork.h>
 
+#include <Fakes/EndpointText.h>
 #include <Harness/LoopbackSubnet.h>
 #include <LibCore/BootClock.h>
 #include <LibSteering/CrashSuspects.h>
@@ -38,7 +39,7 @@
             VmRecord &record = m_vms[i].record;
             record.vm = VmId("vm-" + std::to_string(i));
             record.locality = places[i];
-            record.peerAddress = m_subnet.address(10 + static_cast<int>(i)) + ":7600";
+            record.peerAddress = endpoint(m_subnet.address(10 + static_cast<int>(i)) + ":7600");
             record.startedAtMilliseconds = 1;
         }
     }
--- a/Tests/LibPeer/TestMalformedDatagrams.cpp
+++ b/Tests/LibPeer/TestMalformedDatagrams.cpp
@@ -1,8 +1,10 @@
 #include <LibPeer/PeerNetwork.h>
 
+#include <Fakes/EndpointText.h>
 #include <Harness/LoopbackSubnet.h>
 #include <LibCore/BootClock.h>
 #include <LibCore/RandomSource.h>
+#include <LibNet/SocketAddresses.h>
 #include <Poco/Net/DatagramSocket.h>
 
 #include <doctest/doctest.h>
@@ -23,7 +25,7 @@
     VmRecord record;
     record.vm = VmId("vm-" + std::to_string(index));
     record.locality = { RegionId("cuyo"), AvailabilityZoneId("cuyo-a") };
-    record.peerAddress = subnet.address(10 + index) + ":7600";
+    record.peerAddress = endpoint(subnet.address(10 + index) + ":7600");
     record.startedAtMilliseconds = 1;
     return record;
 }
@@ -83,8 +85,8 @@
     network->onUpdate([&updates](const SourceUpdate &) {
         ++updates;
     });
-    const Poco::Net::SocketAddress receiver(own.peerAddress);
-    Poco::Net::DatagramSocket sender(Poco::Net::SocketAddress(recordOf(subnet, 1).peerAddress));
+    const Poco::Net::SocketAddress receiver = socketAddressOf(own.peerAddress);
+    Poco::Net::DatagramSocket sender(socketAddressOf(recordOf(subnet, 1).peerAddress));
     const std::string sound = strangeDatagram().SerializeAsString();
     RandomSource random(31);
     for (int i = 0; i < datagramCount; ++i) {
--- a/Tests/LibPeer/TestTargetSyncReplyCodec.cpp
+++ b/Tests/LibPeer/TestTargetSyncReplyCodec.cpp
@@ -1,5 +1,7 @@
 #include <LibPeer/TargetSyncReplyCodec.h>
 
+#include <Fakes/EndpointText.h>
+
 #include <doctest/doctest.h>
 
 using namespace Sapphire;
@@ -13,7 +15,7 @@
     TargetListEntry result;
     result.id = TargetId("i-00000000" + std::to_string(number));
     result.service = ServiceId("service-" + std::to_string(number % 3));
-    result.address = "10.1.2." + std::to_string(number % 200) + ":" + std::to_string(8'000 + number);
+    result.address = endpoint("10.1.2." + std::to_string(number % 200) + ":" + std::to_string(8'000 + number));
     result.availabilityZone = AvailabilityZoneId("zone-" + std::to_string(number % 9));
     result.slots = 1 + number % 9;
     result.isDraining = number % 5 == 0;
--- a/Tests/LibSteering/TestTargetList.cpp
+++ b/Tests/LibSteering/TestTargetList.cpp
@@ -1,5 +1,7 @@
 #include <LibSteering/TargetList.h>
 
+#include <Fakes/EndpointText.h>
+
 #include <doctest/doctest.h>
 
 using namespace Sapphire;
@@ -13,7 +15,7 @@
     TargetListEntry result;
     result.id = TargetId(id);
     result.service = ServiceId(service);
-    result.address = "127.0.0.1:1";
+    result.address = endpoint("127.0.0.1:1");
     result.availabilityZone = AvailabilityZoneId("z");
     result.slots = 4;
     return result;
--- a/Tests/Platform/TestRulesFormat.cpp
+++ b/Tests/Platform/TestRulesFormat.cpp
@@ -162,7 +162,7 @@
     REQUIRE(read);
     CHECK(read.value().id == TargetId("i-1"));
     CHECK(read.value().service == ServiceId("s1"));
-    CHECK(read.value().address == "10.128.0.9:8080");
+    CHECK(read.value().address.text() == "10.128.0.9:8080");
     CHECK(read.value().slots == 9);
     CHECK(!read.value().isDraining);
     CHECK(read.value().coldUntil == now + Milliseconds(1'500));
@@ -212,6 +212,18 @@
     CHECK(target(changed("\"sequence\":4,", "")));
 }
 
+TEST_CASE("A target's address with a leading zero is rejected")
+{
+    // Guards against an address that one reader takes as decimal and another one as octal, which ended every process
+    // with a host name that can't be resolved, or sent requests to another address than the entry's.
+    for (const char *address :
+         { "10.128.0.08:8080", "10.128.0.010:8080", "010.128.0.9:8080", "10.128.00.9:8080", "10.128.0.9:08080" }) {
+        CAPTURE(address);
+        CHECK(!target(changed("10.128.0.9:8080", address)));
+    }
+    CHECK(target(changed("10.128.0.9:8080", "10.0.0.9:8080")));
+}
+
 TEST_CASE("A target's address must be an IPv4 address and a port")
 {
     // Guards against a host name whose resolution holds up the reading of all targets, and against an invalid port.
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -264,8 +264,8 @@
     VmRecord record;
     record.vm = VmId("vm-1");
     record.locality = { RegionId("cuyo"), AvailabilityZoneId("cuyo-a") };
-    record.callerAddress = "10.0.0.1:80";
-    record.peerAddress = "10.0.0.1:81";
+    record.callerAddress = Ipv4Endpoint(Ipv4Address(0x0a000001), 80);
+    record.peerAddress = Ipv4Endpoint(Ipv4Address(0x0a000001), 81);
     StoreFaults losing;
     losing.answersToDrop = 1;
     store.setFaults(losing);
@@ -280,10 +280,33 @@
         return records.value();
     };
     REQUIRE(entered().size() == 1);
-    CHECK(entered().front().callerAddress == "10.0.0.1:80");
+    CHECK(entered().front().callerAddress == record.callerAddress);
     CHECK(entered().front().locality == record.locality);
     CHECK(capture([&] {
         return registry.leave(record.vm, soon());
     }));
     CHECK(entered().empty());
 }
+
+TEST_CASE("A VM's record whose address can't be read names no VM")
+{
+    // Guards against a record of another writer that ends every process that sends a datagram to it.
+    StoreStandIn store;
+    const std::unique_ptr<StoreClient> client = clientOf(store);
+    const auto record = [](const std::string &callerAddress, const std::string &peerAddress) {
+        return R"({"region":"cuyo","availabilityZone":"cuyo-a","callerAddress":")" + callerAddress
+            + R"(","peerAddress":")" + peerAddress + "\"}";
+    };
+    store.set("vms", "sound", record("10.0.0.1:80", "10.0.0.1:7600"));
+    store.set("vms", "octal-peer", record("10.0.0.1:80", "10.0.0.08:7600"));
+    store.set("vms", "octal-caller", record("10.0.0.08:80", "10.0.0.1:7600"));
+    store.set("vms", "no-port", record("10.0.0.1:80", "10.0.0.1"));
+    store.set("vms", "host-name", record("10.0.0.1:80", "vm.example:7600"));
+    StoreVmRegistry registry(*client);
+    const Outcome<std::vector<VmRecord>> records = capture([&] {
+        return registry.next(noWait, soon());
+    });
+    REQUIRE(records);
+    REQUIRE(records.value().size() == 1);
+    CHECK(records.value().front().vm == VmId("sound"));
+}
