LibNet, LibGateway: Keep that a connection has failed until its end is reported

Cause: send() takes the error off the socket, and recv() then returns 0 like at a regular end. flush() put off the report of the failure to the end of the loop's round; receive() came first. Ruled out: an end that is taken for a regular one without unsent bytes, and an abort that is lost on the caller's side.

Change: StreamConnection remembers the failure, still delivers what had arrived, and reports a broken connection. An answer without a length ends with its connection only if the whole request has been sent: a target that crashes with an empty receive buffer closes with FIN first.

--- a/Libraries/LibGateway/HealthChecker.cpp
+++ b/Libraries/LibGateway/HealthChecker.cpp
@@ -52,6 +52,7 @@
         m_timer.start(Deadline::after(m_checker.m_loop.now(), longestCheck));
         m_session->begin(*this, "GET " + path + " HTTP/1.1\r\nHost: " + m_target->entry().address.text() + "\r\n\r\n",
                          {}, false);
+        m_session->completeRequest();
     }
 
 private:
--- a/Libraries/LibGateway/RequestAttempt.cpp
+++ b/Libraries/LibGateway/RequestAttempt.cpp
@@ -101,6 +101,7 @@
         if (m_isChunkedBody) {
             m_session->sendMore(lastChunk);
         }
+        m_session->completeRequest();
     }
 }
 
--- a/Libraries/LibGateway/TargetSession.cpp
+++ b/Libraries/LibGateway/TargetSession.cpp
@@ -75,6 +75,7 @@
     m_listener = &listener;
     m_requestId = std::move(requestId);
     m_isHead = isHead;
+    m_isRequestComplete = false;
     m_isReusable = false;
     m_isHeadDelivered = false;
     m_isDropping = false;
@@ -186,6 +187,12 @@
     return id ? *id != m_requestId : isReused();
 }
 
+bool TargetSession::endsAnswer() const
+{
+    const bool isRequestSent = m_isRequestComplete && m_stream->pendingOutput() == 0;
+    return isRequestSent && m_isHeadDelivered && !m_isDropping && m_parser.endsWithConnection();
+}
+
 bool TargetSession::namesRequest() const
 {
     return m_requestId.empty() || m_parser.head().header(m_names.requestId).has_value();
@@ -231,7 +238,7 @@
         failExchange(SessionFailure::NotConnected, "connection not established");
         return;
     }
-    if (!isBroken && m_isHeadDelivered && !m_isDropping && m_parser.endsWithConnection()) {
+    if (!isBroken && endsAnswer()) {
         m_stream->close();
         finish(false);
         return;
--- a/Libraries/LibGateway/TargetSession.h
+++ b/Libraries/LibGateway/TargetSession.h
@@ -48,6 +48,12 @@
     /// accepted.
     void begin(TargetSessionListener &listener, std::string_view bytes, std::string requestId, bool isHead);
     void sendMore(std::string_view bytes);
+    /// Notes that the request has been passed to begin() and sendMore() to its end. Before that, and before all of it
+    /// is sent, the end of the connection is not the end of an answer without a length.
+    void completeRequest()
+    {
+        m_isRequestComplete = true;
+    }
     std::size_t pendingOutput() const
     {
         return m_stream->pendingOutput();
@@ -62,7 +68,7 @@
     /// Whether the next request may use the connection. Set once an exchange has finished.
     bool isReusable() const
     {
-        return m_isReusable && m_stream->isOpen();
+        return m_isReusable && m_stream->isSound();
     }
     bool isConnected() const
     {
@@ -100,6 +106,8 @@
     void feed(std::string_view bytes);
     void deliverHead();
     bool isForeignAnswer() const;
+    /// Whether the end of the connection completes the answer being read.
+    bool endsAnswer() const;
     /// Whether the answer says to which request it belongs, as far as the request had an id.
     bool namesRequest() const;
     void messageComplete();
@@ -118,6 +126,7 @@
     TargetSessionListener *m_listener { nullptr };
     std::string m_requestId;
     bool m_isHead { false };
+    bool m_isRequestComplete { false };
     bool m_isConnected { false };
     bool m_isReusable { false };
     bool m_isHeadDelivered { false };
--- a/Libraries/LibNet/StreamConnection.cpp
+++ b/Libraries/LibNet/StreamConnection.cpp
@@ -83,7 +83,7 @@
 
 void StreamConnection::send(std::string_view bytes)
 {
-    if (!m_isOpen) {
+    if (!isSound()) {
         return;
     }
     m_output.append(bytes);
@@ -103,7 +103,7 @@
 void StreamConnection::finishOutput()
 {
     m_isFinishing = true;
-    if (m_isOpen && !m_isConnecting) {
+    if (isSound() && !m_isConnecting) {
         flush();
     }
 }
@@ -138,9 +138,9 @@
         }
         return;
     }
-    if (events.isWritable) {
+    if (events.isWritable && !m_hasFailed) {
         flush();
-        if (m_isOpen && pendingOutput() == 0) {
+        if (isSound() && pendingOutput() == 0) {
             m_listener->outputDrained();
         }
     }
@@ -170,26 +170,34 @@
 }
 
 void StreamConnection::receive()
+{
+    std::size_t count = pieceBytes;
+    for (int pieces = 0; pieces < mostPiecesInRow && count == pieceBytes; ++pieces) {
+        count = m_isOpen && m_isReading ? receivePiece() : 0;
+    }
+}
+
+/// Returns how many bytes were received; 0 if there are none now, or if the input has ended.
+std::size_t StreamConnection::receivePiece()
 {
     std::array<char, pieceBytes> piece;
-    for (int pieces = 0; pieces < mostPiecesInRow && m_isOpen && m_isReading && !m_hasPeerClosed; ++pieces) {
+    ssize_t count = 0;
+    do {
         // Calls recv() directly, since a would-block result must not raise an exception here.
-        const ssize_t count = ::recv(m_descriptor, piece.data(), piece.size(), MSG_DONTWAIT);
-        if (count > 0) {
-            m_listener->bytesReceived({ piece.data(), static_cast<std::size_t>(count) });
-            if (static_cast<std::size_t>(count) < piece.size()) {
-                return;
-            }
-        } else if (count == 0) {
-            m_hasPeerClosed = true;
-            updateInterest();
-            m_listener->peerClosed(false);
-        } else if (errno == EAGAIN) {
-            return;
-        } else if (errno != EINTR) {
-            closeBroken();
-        }
+        count = ::recv(m_descriptor, piece.data(), piece.size(), MSG_DONTWAIT);
+    } while (count < 0 && errno == EINTR);
+    if (count > 0) {
+        m_listener->bytesReceived({ piece.data(), static_cast<std::size_t>(count) });
+        return static_cast<std::size_t>(count);
     }
+    if (count < 0 && errno != EAGAIN) {
+        closeBroken();
+    } else if (count == 0 && !m_hasFailed) {
+        m_hasPeerClosed = true;
+        updateInterest();
+        m_listener->peerClosed(false);
+    }
+    return 0;
 }
 
 void StreamConnection::flush()
@@ -204,11 +212,8 @@
             updateInterest();
             return;
         } else if (errno != EINTR) {
-            // Notifies the listener later, since it may be in the middle of a call to send().
-            m_loop.later([self = RefPointer<StreamConnection>(this)] {
-                self->closeBroken();
-            });
-            m_output.clear();
+            sendingFailed();
+            return;
         }
     }
     updateInterest();
@@ -218,6 +223,25 @@
     }
 }
 
+void StreamConnection::sendingFailed()
+{
+    // The failed call has taken the error off the socket: reading now ends as if the peer had closed its side.
+    m_hasFailed = true;
+    m_output.clear();
+    // Notifies the listener later, since it may be in the middle of a call to send().
+    m_loop.later([self = RefPointer<StreamConnection>(this)] {
+        self->closeFailed();
+    });
+}
+
+void StreamConnection::closeFailed()
+{
+    // What had arrived before the failure may be a complete answer.
+    while (m_isOpen && m_isReading && !m_hasPeerClosed && receivePiece() > 0) {
+    }
+    closeBroken();
+}
+
 void StreamConnection::closeBroken()
 {
     if (!m_isOpen) {
--- a/Libraries/LibNet/StreamConnection.h
+++ b/Libraries/LibNet/StreamConnection.h
@@ -22,7 +22,8 @@
     virtual void connectionEstablished() = 0;
     /// Called for each piece of input.
     virtual void bytesReceived(std::string_view bytes) = 0;
-    /// The peer sends nothing more. With `isBroken`, the connection has failed and nothing can be sent either.
+    /// The peer sends nothing more. With `isBroken`, the connection has failed, so that what arrived may be less than
+    /// what the peer sent, and nothing can be sent either.
     virtual void peerClosed(bool isBroken) = 0;
     /// The kernel has accepted all pending output. Never called from within send().
     virtual void outputDrained() = 0;
@@ -78,6 +79,12 @@
     {
         return m_isOpen;
     }
+    /// Whether the connection is open and no error has occurred on it. After an error, what had arrived is still
+    /// delivered before the listener is notified of the end.
+    bool isSound() const
+    {
+        return m_isOpen && !m_hasFailed;
+    }
 
 private:
     StreamConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket, StreamConnectionListener &listener);
@@ -86,7 +93,10 @@
     void descriptorReady(const DescriptorEvents &events) override;
     void finishConnecting();
     void receive();
+    std::size_t receivePiece();
     void flush();
+    void sendingFailed();
+    void closeFailed();
     void closeBroken();
     void updateInterest();
 
@@ -99,6 +109,7 @@
     bool m_isConnecting { false };
     bool m_isReading { true };
     bool m_hasPeerClosed { false };
+    bool m_hasFailed { false };
     bool m_failsOnCloseWhilePaused { false };
     bool m_hasSent { false };
     bool m_isFinishing { false };
