LibNet, LibTarget, LibPlatform: Read all answers with one parser, by RFC 9112

Cause: four readers of answers with three parsers, each as lenient as its library; no list of what an answer must be. Status 000 counted as informational.

Change: HttpParser reads the answers of targets, health checks and the store and checks what http_parser doesn't. POCO's parser and ChunkedDecoder leave these paths. The readers' own rules (a length or chunks, the limits) stay. A store's answer in chunks is read now; it was refused. Bytes before or after are as before. Requests get the same checks but for the status line: folded lines and codings other than chunked get 400, as RFC 9112 asks.

--- a/Libraries/LibNet/HttpParser.cpp
+++ b/Libraries/LibNet/HttpParser.cpp
@@ -15,25 +15,11 @@
 constexpr int hasNoBody = 1;
 constexpr int refuseMessage = -1;
 
+constexpr int statusSwitchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
-/// Whether the name is a token and the value has no control characters. http_parser accepts blanks and control
-/// characters, but another program could then read a field as one that frames the message.
-bool isSafeField(const HeaderField &field)
-{
-    static constexpr std::string_view separators = "()<>@,;:\\\"/[]?={} \t";
-    const bool isToken = !field.name.empty() && std::all_of(field.name.begin(), field.name.end(), [](char character) {
-        return Poco::Ascii::isPrintable(character) && separators.find(character) == std::string_view::npos;
-    });
-    const bool isText = std::none_of(field.value.begin(), field.value.end(), [](char character) {
-        return Poco::Ascii::hasProperties(static_cast<unsigned char>(character), Poco::Ascii::ACP_CONTROL)
-            && character != '\t';
-    });
-    return isToken && isText;
-}
-
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
@@ -65,7 +51,8 @@
     }));
 }
 
-HttpParser::HttpParser(Kind kind, std::size_t mostHeadBytes) : m_kind(kind), m_mostHeadBytes(mostHeadBytes)
+HttpParser::HttpParser(Kind kind, std::size_t mostHeadBytes)
+    : m_kind(kind), m_mostHeadBytes(mostHeadBytes), m_headCheck(kind == Kind::Answer)
 {
     begin();
 }
@@ -75,6 +62,9 @@
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
     m_head = HttpHead {};
+    m_headCheck = HttpHeadCheck(m_kind == Kind::Answer);
+    m_chunkCheck = {};
+    m_fault.clear();
     m_body.clear();
     m_headBytes = 0;
     m_isAnswerToHead = isAnswerToHead;
@@ -105,8 +95,7 @@
             return self(parser).headComplete();
         };
         result.on_body = [](http_parser *parser, const char *bytes, std::size_t length) {
-            self(parser).m_body.append(bytes, length);
-            return 0;
+            return self(parser).addBody({ bytes, length });
         };
         result.on_message_complete = [](http_parser *parser) {
             self(parser).m_isComplete = true;
@@ -126,6 +115,7 @@
     }
     m_hasBegun = true;
     const bool wasHeadComplete = m_isHeadComplete;
+    BOOST_LEAF_CHECK(checkHead(bytes));
     const std::size_t taken = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
     const auto error = static_cast<http_errno>(m_parser.http_errno);
     if (!wasHeadComplete) {
@@ -134,12 +124,40 @@
     if (error == HPE_HEADER_OVERFLOW || m_headBytes > m_mostHeadBytes) {
         return fail(ErrorCode::ResourceExhausted, "the head is larger than the limit");
     }
+    checkChunksUntil(bytes.data() + taken);
+    if (!m_fault.empty()) {
+        return fail(ErrorCode::InvalidArgument, m_fault);
+    }
     if (error != HPE_OK && error != HPE_PAUSED) {
         return fail(ErrorCode::InvalidArgument, http_errno_description(error));
     }
     return taken;
 }
 
+Result<void> HttpParser::checkHead(std::string_view bytes)
+{
+    m_uncheckedFrom = bytes.data();
+    if (!m_isHeadComplete) {
+        BOOST_LEAF_AUTO(headBytes, m_headCheck.check(bytes));
+        m_uncheckedFrom += headBytes;
+    }
+    return {};
+}
+
+void HttpParser::checkChunksUntil(const char *position)
+{
+    if (!m_isHeadComplete || !m_head.isChunked || position <= m_uncheckedFrom) {
+        return;
+    }
+    const Outcome<void> checked = capture([&] {
+        return m_chunkCheck.check({ m_uncheckedFrom, static_cast<std::size_t>(position - m_uncheckedFrom) });
+    });
+    m_uncheckedFrom = position;
+    if (!checked) {
+        m_fault = checked.error().message;
+    }
+}
+
 Result<void> HttpParser::finish()
 {
     if (m_isComplete) {
@@ -169,6 +187,9 @@
 {
     // Trailer fields are dropped.
     if (m_isHeadComplete) {
+        if (!bytes.empty() && !isHttpToken(bytes)) {
+            m_fault = "malformed name of a trailer field";
+        }
         return;
     }
     if (!m_isNameOpen) {
@@ -187,10 +208,52 @@
     m_head.headers.back().value.append(bytes);
 }
 
+int HttpParser::addBody(std::string_view bytes)
+{
+    checkChunksUntil(bytes.data());
+    m_chunkCheck.skipData();
+    m_uncheckedFrom = bytes.data() + bytes.size();
+    m_body.append(bytes);
+    return 0;
+}
+
+std::string_view HttpParser::faultOfHead() const
+{
+    for (const HeaderField &field : m_head.headers) {
+        if (!isHttpToken(field.name)) {
+            return "malformed name of a header field";
+        }
+        if (!isHttpText(field.value)) {
+            return "control character in the value of a header field";
+        }
+    }
+    if (m_kind == Kind::Answer && m_parser.status_code == statusSwitchingProtocols) {
+        return "change of the protocol that nobody asked for";
+    }
+    return faultOfBodyLength();
+}
+
+std::string_view HttpParser::faultOfBodyLength() const
+{
+    const bool hasParsedLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    if (m_head.count("Content-Length") != (hasParsedLength ? 1 : 0)) {
+        return "malformed Content-Length";
+    }
+    const std::optional<std::string_view> coding = m_head.header("Transfer-Encoding");
+    if (!coding) {
+        return "";
+    }
+    const bool isHttp11 = m_parser.http_major == 1 && m_parser.http_minor >= 1;
+    if (hasParsedLength || !isHttp11) {
+        return "Transfer-Encoding beside Content-Length or in HTTP/1.0";
+    }
+    const bool isOnlyChunked = m_head.count("Transfer-Encoding") == 1 && equalsIgnoringCase(*coding, "chunked");
+    return isOnlyChunked ? "" : "Transfer-Encoding other than chunked";
+}
+
 int HttpParser::headComplete()
 {
-    const bool isSafe = std::all_of(m_head.headers.begin(), m_head.headers.end(), isSafeField);
-    if (!isSafe) {
+    if (m_fault = faultOfHead(); !m_fault.empty()) {
         return refuseMessage;
     }
     m_isHeadComplete = true;
--- a/Libraries/LibNet/HttpParser.h
+++ b/Libraries/LibNet/HttpParser.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Result.h>
 #include <LibExchange/Messages.h>
+#include <LibNet/HttpFramingCheck.h>
 
 #include <http_parser.h>
 
@@ -61,7 +62,9 @@
     void begin(bool isAnswerToHead = false);
 
     /// Parses bytes up to the end of the message at most and returns how many it consumed.
-    /// Fails with InvalidArgument for malformed HTTP and ResourceExhausted for a head that is too large.
+    /// Fails with InvalidArgument for malformed HTTP (RFC 9112) and for an answer that changes the protocol, which
+    /// nobody asks for, and with ResourceExhausted for a head that is too large. No part of a head that fails is given
+    /// out; of a body, what came before the fault may have been.
     [[nodiscard]] Result<std::size_t> feed(std::string_view bytes);
     /// Signals the end of the input. Fails with DataLoss if the message is incomplete.
     [[nodiscard]] Result<void> finish();
@@ -95,14 +98,25 @@
         return *static_cast<HttpParser *>(parser->data);
     }
 
+    Result<void> checkHead(std::string_view bytes);
+    /// Checks the framing of chunks up to this position of the bytes being parsed.
+    void checkChunksUntil(const char *position);
     int headComplete();
+    /// Returns what is wrong with the complete head, or nothing.
+    std::string_view faultOfHead() const;
+    std::string_view faultOfBodyLength() const;
     void addHeaderName(std::string_view bytes);
     void addHeaderValue(std::string_view bytes);
+    int addBody(std::string_view bytes);
 
     Kind m_kind;
     std::size_t m_mostHeadBytes;
     http_parser m_parser {};
     HttpHead m_head;
+    HttpHeadCheck m_headCheck;
+    HttpChunkCheck m_chunkCheck;
+    const char *m_uncheckedFrom { nullptr }; ///< In the bytes being parsed: where the unchecked framing begins.
+    std::string m_fault; ///< Empty if none was found besides those that http_parser reports.
     std::string m_body;
     std::size_t m_headBytes { 0 };
     bool m_isAnswerToHead { false };
--- a/Libraries/LibPlatform/PlatformConnection.cpp
+++ b/Libraries/LibPlatform/PlatformConnection.cpp
@@ -1,15 +1,14 @@
 #include <LibPlatform/PlatformConnection.h>
 
 #include <LibCore/BootClock.h>
+#include <LibNet/HttpParser.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
-#include <ostream>
+#include <sstream>
 
 namespace Sapphire {
 
@@ -17,21 +16,26 @@
 
 // Most bytes that are requested from the kernel with one read; larger bodies take several.
 constexpr std::size_t readChunkSize = std::size_t { 64 } * 1024;
+constexpr std::size_t mostHeadBytes = 65'536;
+constexpr int firstFinalStatus = 200;
 
-Poco::Net::StreamSocket streamSocket(DeadlineSocket *socket)
+/// Throws if the body is longer than the limit or announced to be, or if its end can't be recognized.
+void checkBody(const HttpParser &parser, std::size_t receivedBytes, std::size_t maxAnswerBytes)
 {
-    return Poco::Net::StreamSocket(socket);
+    if (parser.endsWithConnection()) {
+        // Without a length, a truncated answer can't be distinguished from a complete one.
+        throw Poco::Net::MessageException("the answer has no Content-Length");
+    }
+    if (std::max<std::uint64_t>(receivedBytes, parser.head().bodyBytes.value_or(0)) > maxAnswerBytes) {
+        throw Poco::Net::MessageException("the answer is larger than the limit");
+    }
 }
 
 } // namespace
 
 PlatformConnection::PlatformConnection(DeadlineSocket *socket, const Poco::Net::SocketAddress &address)
-    : Poco::Net::HTTPClientSession(streamSocket(socket))
-    , m_deadlineSocket(socket)
-    , m_address(address.toString())
-    , m_lastUse(BootClock().now())
+    : m_socket(socket), m_deadlineSocket(socket), m_address(address.toString()), m_lastUse(BootClock().now())
 {
-    setKeepAlive(true);
 }
 
 Result<std::unique_ptr<PlatformConnection>> PlatformConnection::create(const Poco::Net::SocketAddress &address,
@@ -83,6 +87,7 @@
 {
     Poco::Net::HTTPRequest message(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
     message.setHost(m_address);
+    message.setKeepAlive(true);
     if (!request.conditionName.empty()) {
         message.set(request.conditionName, request.conditionValue);
     }
@@ -92,44 +97,48 @@
     if (request.isWrite()) {
         message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
     }
-    std::ostream &stream = sendRequest(message);
-    stream.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
+    std::ostringstream stream;
+    message.write(stream);
+    const std::string bytes = std::move(stream).str() + request.body;
+    m_deadlineSocket->sendBytes(bytes.data(), static_cast<int>(bytes.size()), 0);
 }
 
 PlatformAnswer PlatformConnection::receive(std::size_t maxAnswerBytes)
 {
-    Poco::Net::HTTPResponse message;
-    receiveResponse(message);
+    HttpParser parser(HttpParser::Kind::Answer, mostHeadBytes);
     PlatformAnswer answer;
-    answer.status = message.getStatus();
-    answer.entityTag = message.get("ETag", "");
-    const bool hasNoBody = answer.status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT;
-    if (!hasNoBody && !message.hasContentLength()) {
-        // Without a length, a truncated answer can't be distinguished from a complete one.
-        throw Poco::Net::MessageException("the answer has no Content-Length");
-    }
-    const auto length = hasNoBody ? 0 : static_cast<std::size_t>(message.getContentLength64());
-    if (length > maxAnswerBytes) {
-        throw Poco::Net::MessageException("the answer is larger than the limit");
-    }
-    while (answer.body.size() < length) {
-        const std::size_t begin = answer.body.size();
-        const std::size_t wanted = std::min(readChunkSize, length - begin);
-        answer.body.resize(begin + wanted);
-        // Bypasses the session's stream, which would read in small chunks.
-        const int count = read(answer.body.data() + begin, static_cast<std::streamsize>(wanted));
-        if (count <= 0) {
-            throw Poco::Net::MessageException("the answer is truncated");
+    std::string piece(readChunkSize, '\0');
+    std::string_view bytes;
+    while (!parser.isComplete()) {
+        if (bytes.empty()) {
+            const int count = m_deadlineSocket->receiveBytes(piece.data(), static_cast<int>(piece.size()), 0);
+            if (count <= 0) {
+                throw Poco::Net::MessageException("the answer is truncated");
+            }
+            bytes = std::string_view(piece).substr(0, static_cast<std::size_t>(count));
+        }
+        const Outcome<std::size_t> taken = capture([&] {
+            return parser.feed(bytes);
+        });
+        if (!taken) {
+            throw Poco::Net::MessageException("malformed answer: " + taken.error().message);
+        }
+        bytes.remove_prefix(taken.value());
+        answer.body += parser.takeBody();
+        checkBody(parser, answer.body.size(), maxAnswerBytes);
+        if (parser.isComplete() && parser.head().status < firstFinalStatus) {
+            parser.begin();
         }
-        answer.body.resize(begin + static_cast<std::size_t>(count));
     }
-    m_isComplete = message.getKeepAlive();
+    answer.status = parser.head().status;
+    answer.entityTag = parser.head().header("ETag").value_or("");
+    m_isComplete = parser.head().keepsConnection && bytes.empty();
     return answer;
 }
 
 bool PlatformConnection::isReusable()
 {
-    return m_isComplete && connected() && !m_deadlineSocket->hasInput();
+    return m_isComplete && !m_deadlineSocket->hasInput();
 }
 
 bool PlatformConnection::hasReceivedAnything() const
@@ -142,21 +151,4 @@
     return m_lastUse;
 }
 
-void PlatformConnection::connect(const Poco::Net::SocketAddress &)
-{
-    throw Poco::Net::ConnectionAbortedException("the connection is closed");
-}
-
-bool PlatformConnection::mustReconnect() const
-{
-    return false;
-}
-
-int PlatformConnection::write(const char *buffer, std::streamsize length)
-{
-    // HTTPClientSession::write() would reconnect and send again, so that a write could run twice.
-    // NOLINTNEXTLINE(bugprone-parent-virtual-call)
-    return HTTPSession::write(buffer, length);
-}
-
 } // namespace Sapphire
--- a/Libraries/LibPlatform/PlatformConnection.h
+++ b/Libraries/LibPlatform/PlatformConnection.h
@@ -5,8 +5,8 @@
 #include <LibPlatform/DeadlineSocket.h>
 #include <LibPlatform/PlatformExchange.h>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <cstddef>
 #include <memory>
@@ -14,14 +14,12 @@
 namespace Sapphire {
 
 /// A persistent HTTP connection to the platform that carries one request at a time and never reconnects by itself.
-class PlatformConnection final : private Poco::Net::HTTPClientSession
+class PlatformConnection final
 {
 public:
     /// Connects. Fails with Unavailable or Timeout and the verdict NotRun.
     [[nodiscard]] static Result<std::unique_ptr<PlatformConnection>> create(const Poco::Net::SocketAddress &address,
                                                                             Deadline deadline);
-    ~PlatformConnection() override = default;
-
     /// Sends the request and reads the complete answer. Fails with Timeout or Unavailable; a write then carries
     /// the verdict MayHaveRun if any byte was sent. After a failure the connection must be dropped.
     [[nodiscard]] Result<PlatformAnswer> exchange(const PlatformRequest &request, std::size_t maxAnswerBytes,
@@ -37,14 +35,11 @@
 private:
     PlatformConnection(DeadlineSocket *socket, const Poco::Net::SocketAddress &address);
 
-    void connect(const Poco::Net::SocketAddress &address) override;
-    bool mustReconnect() const override;
-    int write(const char *buffer, std::streamsize length) override;
-
     void send(const PlatformRequest &request);
     PlatformAnswer receive(std::size_t maxAnswerBytes);
 
-    DeadlineSocket *m_deadlineSocket; ///< Owned by the session's socket.
+    Poco::Net::StreamSocket m_socket;
+    DeadlineSocket *m_deadlineSocket; ///< Owned by m_socket.
     std::string m_address;
     bool m_isComplete { false };
     TimePoint m_lastUse;
--- a/Libraries/LibTarget/AnswerReader.h
+++ b/Libraries/LibTarget/AnswerReader.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include <LibTarget/ChunkedDecoder.h>
+#include <LibNet/HttpParser.h>
 #include <LibTarget/TargetConnection.h>
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include <array>
 #include <optional>
 #include <string>
@@ -21,14 +19,14 @@
     /// Reads the head and skips interim (1xx) answers. Fails as TargetConnection::receive() does, and with DataLoss if
     /// the answer is not valid HTTP, ends early or doesn't declare where its body ends.
     [[nodiscard]] Result<void> readHead(const WaitLimit &limit);
-    const Poco::Net::HTTPResponse &head() const
+    const HttpHead &head() const
     {
-        return m_head;
+        return m_parser.head();
     }
     /// The length of the body or, for HEAD, the length that the answer to GET would have.
     std::optional<std::uint64_t> announcedBytes() const
     {
-        return m_announcedBytes;
+        return m_parser.head().bodyBytes;
     }
 
     /// Returns the number of bytes read; zero at the end of a complete body.
@@ -45,30 +43,20 @@
     }
 
 private:
-    enum class Framing {
-        None,
-        Length,
-        Chunked,
-    };
-
-    Result<void> fill(const WaitLimit &limit);
-    Result<void> parseHead(std::size_t length);
-    Result<void> determineFraming();
-    Result<std::size_t> readChunked(std::span<char> buffer, const WaitLimit &limit);
+    /// Parses received bytes, and waits for some if there are none.
+    Result<void> parseMore(const WaitLimit &limit);
+    Result<void> receive(const WaitLimit &limit);
 
     static constexpr std::size_t bufferBytes = 16384;
 
     TargetConnection &m_connection;
     bool m_isHeadRequest;
-    Poco::Net::HTTPResponse m_head;
-    Framing m_framing { Framing::None };
-    std::optional<std::uint64_t> m_announcedBytes;
-    std::uint64_t m_left { 0 };
-    ChunkedDecoder m_decoder;
-    std::array<char, bufferBytes> m_buffer; ///< Filled from m_begin to m_end.
+    HttpParser m_parser;
+    std::array<char, bufferBytes> m_buffer; ///< Holds bytes that are not parsed yet from m_begin to m_end.
     std::size_t m_begin { 0 };
     std::size_t m_end { 0 };
-    bool m_isComplete { false };
+    std::string m_body; ///< Holds body bytes that are not given out yet from m_bodyBegin.
+    std::size_t m_bodyBegin { 0 };
     bool m_hasBegun { false };
 };
 
--- a/Libraries/LibTarget/TargetAttempt.cpp
+++ b/Libraries/LibTarget/TargetAttempt.cpp
@@ -5,6 +5,7 @@
 #include <LibTarget/HeaderFilter.h>
 
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/String.h>
 
 #include <algorithm>
@@ -250,10 +251,10 @@
     m_reader.emplace(*m_connection, m_head.method == "HEAD");
     BOOST_LEAF_CHECK(m_reader->readHead(m_limit));
     m_latency = m_clock.now() - m_requestEndAt;
-    m_status = m_reader->head().getStatus();
+    m_status = m_reader->head().status;
     readPause();
     const bool isShed = m_status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE
-        && m_reader->head().get("Sapphire-Shed", "") == "1";
+        && m_reader->head().header("Sapphire-Shed") == "1";
     if (isShed) {
         return {};
     }
@@ -263,12 +264,11 @@
 
 void TargetAttempt::readPause()
 {
-    const bool asksForPause =
-        m_status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE && m_reader->head().has("Retry-After");
-    if (!asksForPause) {
+    const std::optional<std::string_view> retryAfter = m_reader->head().header("Retry-After");
+    if (m_status != Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE || !retryAfter) {
         return;
     }
-    const RetryAfter pause = readRetryAfter(m_reader->head().get("Retry-After"), m_clock.now());
+    const RetryAfter pause = readRetryAfter(*retryAfter, m_clock.now());
     if (pause.reading != RetryAfter::Reading::Unreadable) {
         m_pausedUntil = pause.until;
     }
@@ -282,10 +282,7 @@
     answer.target = m_target.id;
     answer.locality = m_target.locality;
     answer.vm = m_target.ownVm;
-    std::vector<HeaderField> received;
-    for (const auto &[name, value] : m_reader->head()) {
-        received.push_back({ name, value });
-    }
+    std::vector<HeaderField> received = m_reader->head().headers;
     const std::vector<std::string> options = connectionOptions(received);
     for (HeaderField &field : received) {
         const bool isOption = std::find(options.begin(), options.end(), Poco::toLower(field.name)) != options.end();
--- a/Libraries/LibTarget/TargetProbe.cpp
+++ b/Libraries/LibTarget/TargetProbe.cpp
@@ -1,10 +1,7 @@
 #include <LibTarget/TargetProbe.h>
 
-#include <LibTarget/ChunkedDecoder.h>
-
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/Net/HTTPResponse.h>
 
 #include <algorithm>
@@ -20,6 +17,7 @@
 
 // Both answers are a few dozen bytes; a target that sends much more is failing.
 constexpr std::size_t mostAnswerBytes = 16384;
+constexpr int firstFinalStatus = 200;
 constexpr int mostSlots = 1'000'000;
 
 /// Returns an empty object if the text isn't a JSON object.
@@ -45,7 +43,10 @@
 } // namespace
 
 TargetProbe::TargetProbe(TargetId target, VmId observer, const Poco::Net::SocketAddress &address)
-    : m_target(std::move(target)), m_observer(std::move(observer)), m_address(address)
+    : m_target(std::move(target))
+    , m_observer(std::move(observer))
+    , m_address(address)
+    , m_parser(HttpParser::Kind::Answer, mostAnswerBytes)
 {
 }
 
@@ -74,7 +75,8 @@
 
 void TargetProbe::sendRequest(const char *path, Step step, TimePoint now)
 {
-    m_input.clear();
+    m_parser.begin();
+    m_body.clear();
     m_step = step;
     const std::string text = std::string("GET ") + path + " HTTP/1.1\r\nHost: " + m_address.toString() + "\r\n\r\n";
     const ssize_t sent = ::send(m_socket->impl()->sockfd(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -111,78 +113,72 @@
     if (received < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    if (received <= 0 || m_input.size() > mostAnswerBytes) {
+    if (received <= 0) {
         handleConnectionLoss(now);
         return;
     }
-    m_input.append(buffer.data(), static_cast<std::size_t>(received));
-    const auto answer = capture([this] {
-        return takeAnswer();
+    const Outcome<bool> isComplete = capture([&] {
+        return takeBytes({ buffer.data(), static_cast<std::size_t>(received) });
     });
-    if (!answer) {
+    if (!isComplete) {
         m_socket.reset();
         finish(TargetHealth::Failing, now);
         return;
     }
-    if (!answer.value()) {
+    if (!isComplete.value()) {
         return;
     }
     if (m_step == Step::Health) {
-        takeHealth(*answer.value());
+        takeHealth();
         sendRequest("/load", Step::Load, now);
     } else {
-        takeLoad(*answer.value());
+        takeLoad();
         finish(m_health, now);
     }
 }
 
-Result<std::optional<std::string>> TargetProbe::takeAnswer()
+Result<bool> TargetProbe::takeBytes(std::string_view bytes)
 {
-    const std::size_t headEnd = m_input.find("\r\n\r\n");
-    if (headEnd == std::string::npos) {
-        return std::optional<std::string>();
-    }
-    const std::size_t bodyStart = headEnd + 4;
-    Poco::Net::HTTPResponse head;
-    try {
-        Poco::MemoryInputStream stream(m_input.data(), static_cast<std::streamsize>(bodyStart));
-        head.read(stream);
-    } catch (const Poco::Exception &exception) {
-        return fail(ErrorCode::DataLoss, exception.displayText());
-    }
-    m_hasFailedStatus = head.getStatus() != Poco::Net::HTTPResponse::HTTP_OK;
-    if (head.getChunkedTransferEncoding()) {
-        ChunkedDecoder decoder;
-        std::string body(m_input.size(), '\0');
-        BOOST_LEAF_AUTO(progress, decoder.decode(std::span(m_input).subspan(bodyStart), body));
-        body.resize(progress.produced);
-        return decoder.isAtEnd() ? std::optional(body) : std::nullopt;
-    }
-    if (!head.hasContentLength() || head.getContentLength64() < 0) {
+    while (!bytes.empty() && !m_parser.isComplete()) {
+        BOOST_LEAF_AUTO(taken, m_parser.feed(bytes));
+        bytes.remove_prefix(taken);
+        m_body += m_parser.takeBody();
+        if (m_parser.isComplete() && m_parser.head().status < firstFinalStatus) {
+            m_parser.begin();
+        }
+    }
+    if (m_parser.endsWithConnection()) {
         return fail(ErrorCode::DataLoss, "neither Content-Length nor chunked");
     }
-    const auto length = static_cast<std::size_t>(head.getContentLength64());
-    return m_input.size() - bodyStart < length ? std::nullopt : std::optional(m_input.substr(bodyStart, length));
+    if (m_body.size() > mostAnswerBytes) {
+        return fail(ErrorCode::DataLoss, "the answer is too long");
+    }
+    return m_parser.isComplete();
+}
+
+bool TargetProbe::hasFailedStatus() const
+{
+    return m_parser.head().status != Poco::Net::HTTPResponse::HTTP_OK;
 }
 
-void TargetProbe::takeHealth(const std::string &body)
+void TargetProbe::takeHealth()
 {
-    const Poco::JSON::Object::Ptr object = parseObject(body);
+    const Poco::JSON::Object::Ptr object = parseObject(m_body);
     const std::string status = object->optValue<std::string>("status", "");
     m_health = TargetHealth::Failing;
     if (status == "draining") {
         m_health = TargetHealth::Draining;
-    } else if (status == "ok" && !m_hasFailedStatus) {
+    } else if (status == "ok" && !hasFailedStatus()) {
         m_health = TargetHealth::Ok;
     }
 }
 
-void TargetProbe::takeLoad(const std::string &body)
+void TargetProbe::takeLoad()
 {
-    if (m_hasFailedStatus) {
+    if (hasFailedStatus()) {
         return;
     }
-    const Poco::JSON::Object::Ptr object = parseObject(body);
+    const Poco::JSON::Object::Ptr object = parseObject(m_body);
     m_report.inFlight = readCount(*object, "inFlight");
     m_report.slots = readCount(*object, "slots");
 }
--- a/Libraries/LibTarget/TargetProbe.h
+++ b/Libraries/LibTarget/TargetProbe.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Result.h>
+#include <LibNet/HttpParser.h>
 #include <LibSteering/TargetReport.h>
 
 #include <Poco/Net/SocketAddress.h>
@@ -54,10 +55,12 @@
     void connect(TimePoint now);
     void sendRequest(const char *path, Step step, TimePoint now);
     void receive(TimePoint now);
-    /// Returns the body once the answer is complete. Fails with DataLoss if the answer is malformed.
-    Result<std::optional<std::string>> takeAnswer();
-    void takeHealth(const std::string &body);
-    void takeLoad(const std::string &body);
+    /// Adds received bytes to the answer and returns whether it is complete. Fails with DataLoss if it is malformed or
+    /// too long.
+    Result<bool> takeBytes(std::string_view bytes);
+    void takeHealth();
+    void takeLoad();
+    bool hasFailedStatus() const;
     void handleConnectionLoss(TimePoint now);
     void finish(TargetHealth health, TimePoint now);
 
@@ -67,8 +70,8 @@
     std::optional<Poco::Net::StreamSocket> m_socket;
     Step m_step { Step::Done };
     bool m_isReused { false };
-    bool m_hasFailedStatus { false };
-    std::string m_input;
+    HttpParser m_parser;
+    std::string m_body; ///< Of the answer being read.
     TargetHealth m_health { TargetHealth::Failing };
     TargetReport m_report;
 };
