LibNet: Wait for a peer that has no room for more bytes

Cause: TCP_USER_TIMEOUT of 1 s, set to notice failed machines, also counts the time for which a live peer acknowledges probes but has no room. Ruled out: the limits of the request and of the stop, 8 and 6 s, and timers, which log an event.

Change: while bytes are unacknowledged, the kernel's TCP_INFO is read every 200 ms; if output waits for the peer's room only, the timeout is lifted, and the connection fails if two probes stay unanswered for longer than the limit.

--- a/Libraries/LibNet/StreamConnection.cpp
+++ b/Libraries/LibNet/StreamConnection.cpp
@@ -1,5 +1,7 @@
 #include <LibNet/StreamConnection.h>
 
+#include <LibNet/TcpProgress.h>
+
 #include <Poco/Exception.h>
 
 #include <array>
@@ -17,6 +19,10 @@
 // Pieces that are read before other connections and timers get their turn, so that a peer that sends without end delays
 // nobody.
 constexpr int mostPiecesInRow = 4;
+// How often output that may wait for a peer without room is looked at: well below a second, the limit for targets.
+constexpr Milliseconds progressInterval { 200 };
+// Every peer has room for this much.
+constexpr std::size_t alwaysTakenBytes = 1'024;
 constexpr int probeIntervalSeconds = 1;
 constexpr int lostProbes = 2;
 
@@ -24,7 +30,13 @@
 
 StreamConnection::StreamConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket,
                                    StreamConnectionListener &listener)
-    : m_loop(loop), m_socket(socket), m_descriptor(socket.impl()->sockfd()), m_listener(&listener)
+    : m_loop(loop)
+    , m_socket(socket)
+    , m_descriptor(socket.impl()->sockfd())
+    , m_listener(&listener)
+    , m_progressTimer(loop, [this] {
+        checkProgress();
+    })
 {
 }
 
@@ -66,9 +78,8 @@
     try {
         m_socket.setBlocking(false);
         m_socket.setNoDelay(true);
-        if (liveness.unacknowledgedLimit > Milliseconds::zero()) {
-            m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(liveness.unacknowledgedLimit.count()));
-        }
+        m_unacknowledgedLimit = liveness.unacknowledgedLimit;
+        setUserTimeout(m_unacknowledgedLimit);
         if (liveness.probeAfter > std::chrono::seconds::zero()) {
             m_socket.setKeepAlive(true);
             m_socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(liveness.probeAfter.count()));
@@ -114,6 +125,7 @@
         return;
     }
     m_isOpen = false;
+    m_progressTimer.stop();
     m_loop.unwatch(m_descriptor);
     m_socket.close();
 }
@@ -207,9 +219,11 @@
         const ssize_t count = ::send(m_descriptor, waiting.data(), waiting.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (count > 0) {
             m_hasSent = true;
+            m_sentUnchecked += static_cast<std::size_t>(count);
             m_output.consume(static_cast<std::size_t>(count));
         } else if (errno == EAGAIN) {
             updateInterest();
+            startProgressTimer();
             return;
         } else if (errno != EINTR) {
             sendingFailed();
@@ -217,12 +231,50 @@
         }
     }
     updateInterest();
+    startProgressTimer();
     if (m_isFinishing && m_isOpen) {
         ::shutdown(m_descriptor, SHUT_WR);
         m_isFinishing = false;
     }
 }
 
+void StreamConnection::startProgressTimer()
+{
+    const bool isLimited = m_unacknowledgedLimit > Milliseconds::zero();
+    if (isLimited && m_sentUnchecked > alwaysTakenBytes && !m_progressTimer.isRunning()) {
+        m_progressTimer.start(Deadline::after(m_loop.now(), progressInterval));
+    }
+}
+
+void StreamConnection::checkProgress()
+{
+    const RefPointer<StreamConnection> self(this);
+    const std::optional<TcpProgress> progress = tcpProgressOf(m_descriptor);
+    if (!progress || progress->isAllAcknowledged()) {
+        setUserTimeout(m_unacknowledgedLimit);
+        m_sentUnchecked = 0;
+        return;
+    }
+    if (progress->isPeerSilent(m_unacknowledgedLimit)) {
+        closeBroken();
+        return;
+    }
+    // The kernel's timeout doesn't distinguish a peer that has no room from one that is silent.
+    setUserTimeout(progress->isBlockedByPeer() ? Milliseconds::zero() : m_unacknowledgedLimit);
+    startProgressTimer();
+}
+
+void StreamConnection::setUserTimeout(Milliseconds limit)
+{
+    if (limit == m_userTimeout) {
+        return;
+    }
+    const auto milliseconds = static_cast<unsigned>(limit.count());
+    if (::setsockopt(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds) == 0) {
+        m_userTimeout = limit;
+    }
+}
+
 void StreamConnection::sendingFailed()
 {
     // The failed call has taken the error off the socket: reading now ends as if the peer had closed its side.
--- a/Libraries/LibNet/StreamConnection.h
+++ b/Libraries/LibNet/StreamConnection.h
@@ -32,7 +32,10 @@
 /// How the kernel detects a peer that vanished without closing the connection. Zero disables a check.
 struct LivenessSettings
 {
-    /// The connection fails if sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
+    /// The connection fails if the peer's machine acknowledges nothing for this long, neither bytes on their way
+    /// (TCP_USER_TIMEOUT) nor probes. A peer that acknowledges but has no room for more bytes is waited for; whether
+    /// its machine still answers is known only at the kernel's probes, whose intervals grow with the time it has no
+    /// room.
     Milliseconds unacknowledgedLimit { 0 };
     /// A connection on which nothing arrives for this long is probed once a second and fails after two lost probes.
     std::chrono::seconds probeAfter { 0 };
@@ -97,6 +100,9 @@
     void flush();
     void sendingFailed();
     void closeFailed();
+    void startProgressTimer();
+    void checkProgress();
+    void setUserTimeout(Milliseconds limit);
     void closeBroken();
     void updateInterest();
 
@@ -105,6 +111,10 @@
     int m_descriptor;
     StreamConnectionListener *m_listener;
     OutputBuffer m_output;
+    Milliseconds m_unacknowledgedLimit { 0 };
+    Milliseconds m_userTimeout { 0 }; ///< As the kernel has it.
+    std::size_t m_sentUnchecked { 0 }; ///< Bytes that were sent since all were known to be acknowledged.
+    Timer m_progressTimer;
     bool m_isOpen { true };
     bool m_isConnecting { false };
     bool m_isReading { true };
--- a/Tests/LibNet/TestStreamConnection.cpp
+++ b/Tests/LibNet/TestStreamConnection.cpp
@@ -18,13 +18,13 @@
 class ConnectedPair final : private StreamConnectionListener
 {
 public:
-    ConnectedPair()
+    explicit ConnectedPair(const LivenessSettings &liveness = {})
         : m_server(Poco::Net::SocketAddress("127.0.0.1", 0))
         , m_loop(std::move(capture([this] {
                                return EventLoop::create(m_clock);
                            }).value()))
-        , connection(std::move(capture([this] {
-                                   return StreamConnection::connect(*m_loop, m_server.address(), {}, *this);
+        , connection(std::move(capture([this, &liveness] {
+                                   return StreamConnection::connect(*m_loop, m_server.address(), liveness, *this);
                                }).value()))
         , peer(m_server.acceptConnection())
     {
@@ -53,6 +53,28 @@
     {
         peer.sendBytes(text.data(), static_cast<int>(text.size()));
     }
+    /// Has the peer read nothing for a time, while the loop runs.
+    void pausePeer(Milliseconds time)
+    {
+        const Deadline end = Deadline::after(m_clock.now(), time);
+        while (!isBroken && !end.hasPassed(m_clock.now())) {
+            runOnce();
+        }
+    }
+    /// Has the peer read until so many bytes have arrived or the connection has ended.
+    std::size_t readByPeer(std::size_t count)
+    {
+        std::string buffer(65'536, '\0');
+        std::size_t read = 0;
+        const Deadline end = Deadline::after(m_clock.now(), Milliseconds(5'000));
+        while (read < count && !isBroken && !end.hasPassed(m_clock.now())) {
+            m_loop->runOnce(Deadline::after(m_clock.now(), Milliseconds(0)));
+            if (peer.poll(Poco::Timespan(1'000), Poco::Net::Socket::SELECT_READ)) {
+                read += static_cast<std::size_t>(peer.receiveBytes(buffer.data(), static_cast<int>(buffer.size())));
+            }
+        }
+        return read;
+    }
     void resetByPeer()
     {
         peer.setLinger(true, 0);
@@ -151,3 +173,29 @@
     CHECK(pair.isBroken == false);
     CHECK(pair.received == "whole");
 }
+
+TEST_CASE("A peer that reads late is waited for, for longer than bytes may stay unacknowledged")
+{
+    // Guards against a sound target that works before it reads a long body and is taken for a failed machine.
+    constexpr LivenessSettings liveness { Milliseconds(1'000), std::chrono::seconds(1) };
+    std::size_t bytes = 0;
+    SUBCASE("output waits in the process")
+    {
+        bytes = blockedBytes;
+    }
+    SUBCASE("output waits in the kernel only")
+    {
+        bytes = 1'000'000;
+    }
+    ConnectedPair pair(liveness);
+    pair.connection->send(std::string(bytes, 'x'));
+    std::size_t read = 0;
+    for (const std::size_t goal : { bytes / 2, bytes }) {
+        pair.pausePeer(Milliseconds(2'500));
+        REQUIRE(!pair.isBroken);
+        read += pair.readByPeer(goal - read);
+        CHECK(read >= goal);
+    }
+    CHECK(read == bytes);
+    CHECK(!pair.isBroken);
+}
