--- a/Tests/LibGateway/TestAnswerEnds.cpp
+++ b/Tests/LibGateway/TestAnswerEnds.cpp
@@ -49,7 +49,7 @@
             }
             m_hasEnded = true;
         });
-        const CallerAnswer answer = GatewayFixture::receive(socket);
+        CallerAnswer answer = GatewayFixture::receive(socket);
         sender.join();
         return answer;
     }
