--- a/Tests/LibGateway/TestMalformedAnswers.cpp
+++ b/Tests/LibGateway/TestMalformedAnswers.cpp
@@ -28,8 +28,9 @@
                     ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
                     return;
                 }
-                ScriptedTarget::write(socket, row.withFields("Seal: s\r\nRequest-Id: r1\r\n"));
+                // Before the answer, after which the test may look.
                 mostOnConnection = std::max(mostOnConnection.load(), ++requests);
+                ScriptedTarget::write(socket, row.withFields("Seal: s\r\nRequest-Id: r1\r\n"));
             }
         });
         fixture.applyRules(routeTimeout);
