TestLibTarget: Play an answer whose connection ends during an upload on sapphired's path

Change: a case of TargetExchange with an upload of 16 MB, an answer without a length, with one and in chunks, and a connection that is reset or half-closed.

--- a/Tests/LibTarget/TestTargetExchange.cpp
+++ b/Tests/LibTarget/TestTargetExchange.cpp
@@ -115,6 +115,42 @@
     }
 }
 
+TEST_CASE("TargetExchange reports an early answer whose connection ends during an upload as cut")
+{
+    // Guards against the beginning of an answer that is taken for the whole one, also after a reset that a send
+    // noticed.
+    for (const std::string framing : { "", "Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n" }) {
+        for (const bool isReset : { true, false }) {
+            CAPTURE(framing);
+            CAPTURE(isReset);
+            const std::string part = framing.starts_with('T') ? "5\r\nabcde\r\n" : "abcde";
+            const ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
+                ScriptedTarget::readHead(socket);
+                ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + part);
+                if (isReset) {
+                    socket.setLinger(true, 0);
+                } else {
+                    socket.shutdownSend();
+                    // Until the upload and the connection end.
+                    std::string buffer(65'536, '\0');
+                    while (socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size())) > 0) {
+                    }
+                }
+            });
+            Fixture fixture(target.address());
+            const std::string upload(16'000'000, 'x');
+            RequestHead request = fixture.head("/");
+            request.method = "POST";
+            request.bodyBytes = upload.size();
+            const AttemptReport report = fixture.run(request, upload);
+            REQUIRE(report.exchange.refusal);
+            CHECK(nameOf(report.exchange.refusal->verdict) == nameOf(Verdict::MayHaveRun));
+            CHECK_FALSE(fixture.sink->isFinished);
+            CHECK(fixture.pool.openCount() == 0);
+        }
+    }
+}
+
 TEST_CASE("TargetExchange reports not run only if the target received nothing or refused")
 {
     // Guards against "not run" after a byte was sent, and "may have run" for plain refusals.
