--- a/Libraries/LibGateway/TargetSession.cpp
+++ b/Libraries/LibGateway/TargetSession.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t mostDroppedBytes = 262'144;
 // More than three round trips between regions (110 ms).
 constexpr Milliseconds connectTime { 400 };
-constexpr int firstFinalStatus = 200;
 constexpr std::string_view keepAliveTimeout = "timeout=";
 
 /// Returns for how long the target keeps an idle connection, or nothing if it does not announce that.
@@ -170,7 +169,7 @@
 {
     m_isHeadDelivered = true;
     const HttpHead &head = m_parser.head();
-    m_isDropping = head.status < firstFinalStatus || isForeignAnswer();
+    m_isDropping = head.isInformational() || isForeignAnswer();
     if (!m_isDropping) {
         m_listener->answerStarted(head);
     }
@@ -201,7 +200,7 @@
 void TargetSession::messageComplete()
 {
     if (m_isDropping) {
-        m_hasDropped = m_hasDropped || m_parser.head().status >= firstFinalStatus;
+        m_hasDropped = m_hasDropped || !m_parser.head().isInformational();
         m_isHeadDelivered = false;
         m_isDropping = false;
         m_parser.begin(m_isHead);
--- a/Libraries/LibNet/HttpFramingCheck.h
+++ b/Libraries/LibNet/HttpFramingCheck.h
@@ -23,10 +23,6 @@
 
     /// Checks bytes up to the end of the head at most and returns how many these are. Fails with InvalidArgument.
     [[nodiscard]] Result<std::size_t> check(std::string_view bytes);
-    bool isAtEnd() const
-    {
-        return m_isAtEnd;
-    }
 
 private:
     Result<void> addToLine(std::string_view bytes);
--- a/Libraries/LibNet/HttpParser.cpp
+++ b/Libraries/LibNet/HttpParser.cpp
@@ -34,6 +34,11 @@
     return status < firstFinalStatus || status == statusNoContent || status == statusNotModified;
 }
 
+bool HttpHead::isInformational() const
+{
+    return status < firstFinalStatus;
+}
+
 std::optional<std::string_view> HttpHead::header(std::string_view name) const
 {
     for (const HeaderField &field : headers) {
@@ -158,6 +163,13 @@
     }
 }
 
+void HttpParser::skipInformational()
+{
+    if (m_isComplete && m_head.isInformational()) {
+        begin(m_isAnswerToHead);
+    }
+}
+
 Result<void> HttpParser::finish()
 {
     if (m_isComplete) {
--- a/Libraries/LibNet/HttpParser.h
+++ b/Libraries/LibNet/HttpParser.h
@@ -31,6 +31,8 @@
     std::optional<std::uint64_t> bodyBytes;
     bool isChunked { false };
 
+    /// Whether it is the head of an informational answer (1xx), which precedes the answer to the request.
+    bool isInformational() const;
     /// Returns the value of the first header with that name, ignoring case.
     std::optional<std::string_view> header(std::string_view name) const;
     /// Returns how many headers have that name, ignoring case.
@@ -66,6 +68,8 @@
     /// nobody asks for, and with ResourceExhausted for a head that is too large. No part of a head that fails is given
     /// out; of a body, what came before the fault may have been.
     [[nodiscard]] Result<std::size_t> feed(std::string_view bytes);
+    /// Begins the next message if the complete one is an informational answer.
+    void skipInformational();
     /// Signals the end of the input. Fails with DataLoss if the message is incomplete.
     [[nodiscard]] Result<void> finish();
 
--- a/Libraries/LibPlatform/PlatformConnection.cpp
+++ b/Libraries/LibPlatform/PlatformConnection.cpp
@@ -17,7 +17,6 @@
 // Most bytes that are requested from the kernel with one read; larger bodies take several.
 constexpr std::size_t readChunkSize = std::size_t { 64 } * 1024;
 constexpr std::size_t mostHeadBytes = 65'536;
-constexpr int firstFinalStatus = 200;
 
 /// Throws if the body is longer than the limit or announced to be, or if its end can't be recognized.
 void checkBody(const HttpParser &parser, std::size_t receivedBytes, std::size_t maxAnswerBytes)
@@ -126,9 +125,7 @@
         bytes.remove_prefix(taken.value());
         answer.body += parser.takeBody();
         checkBody(parser, answer.body.size(), maxAnswerBytes);
-        if (parser.isComplete() && parser.head().status < firstFinalStatus) {
-            parser.begin();
-        }
+        parser.skipInformational();
     }
     answer.status = parser.head().status;
     answer.entityTag = parser.head().header("ETag").value_or("");
--- a/Libraries/LibTarget/AnswerReader.cpp
+++ b/Libraries/LibTarget/AnswerReader.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr int firstFinalStatus = 200;
-
 boost::leaf::error_id malformed(const std::string &detail)
 {
     return fail(ErrorCode::DataLoss, "malformed answer: " + detail, Verdict::MayHaveRun);
@@ -18,18 +16,16 @@
 // The buffer stays uninitialized: only bytes that were received are read from it.
 // NOLINTNEXTLINE(cppcoreguidelines-pro-type-member-init)
 AnswerReader::AnswerReader(TargetConnection &connection, bool isHeadRequest)
-    : m_connection(connection), m_isHeadRequest(isHeadRequest), m_parser(HttpParser::Kind::Answer, bufferBytes)
+    : m_connection(connection), m_parser(HttpParser::Kind::Answer, bufferBytes)
 {
-    m_parser.begin(m_isHeadRequest);
+    m_parser.begin(isHeadRequest);
 }
 
 Result<void> AnswerReader::readHead(const WaitLimit &limit)
 {
     while (!m_parser.isHeadComplete()) {
         BOOST_LEAF_CHECK(parseMore(limit));
-        if (m_parser.isComplete() && head().status < firstFinalStatus) {
-            m_parser.begin(m_isHeadRequest);
-        }
+        m_parser.skipInformational();
     }
     if (m_parser.endsWithConnection()) {
         // A body that is delimited by the end of the connection can't be distinguished from a truncated one.
--- a/Libraries/LibTarget/AnswerReader.h
+++ b/Libraries/LibTarget/AnswerReader.h
@@ -50,7 +50,6 @@
     static constexpr std::size_t bufferBytes = 16384;
 
     TargetConnection &m_connection;
-    bool m_isHeadRequest;
     HttpParser m_parser;
     std::array<char, bufferBytes> m_buffer; ///< Holds bytes that are not parsed yet from m_begin to m_end.
     std::size_t m_begin { 0 };
--- a/Libraries/LibTarget/TargetProbe.cpp
+++ b/Libraries/LibTarget/TargetProbe.cpp
@@ -17,7 +17,6 @@
 
 // Both answers are a few dozen bytes; a target that sends much more is failing.
 constexpr std::size_t mostAnswerBytes = 16384;
-constexpr int firstFinalStatus = 200;
 constexpr int mostSlots = 1'000'000;
 
 /// Returns an empty object if the text isn't a JSON object.
@@ -143,9 +142,7 @@
         BOOST_LEAF_AUTO(taken, m_parser.feed(bytes));
         bytes.remove_prefix(taken);
         m_body += m_parser.takeBody();
-        if (m_parser.isComplete() && m_parser.head().status < firstFinalStatus) {
-            m_parser.begin();
-        }
+        m_parser.skipInformational();
     }
     if (m_parser.endsWithConnection()) {
         return fail(ErrorCode::DataLoss, "neither Content-Length nor chunked");
--- a/Tests/LibNet/TestHttpAnswerRules.cpp
+++ b/Tests/LibNet/TestHttpAnswerRules.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::size_t mostHeadBytes = 16'384;
-constexpr int firstFinalStatus = 200;
 
 struct ParsedAnswer
 {
@@ -26,9 +25,7 @@
         BOOST_LEAF_AUTO(taken, parser.feed(bytes.substr(0, pieceBytes)));
         bytes.remove_prefix(taken);
         answer.body += parser.takeBody();
-        if (parser.isComplete() && parser.head().status < firstFinalStatus) {
-            parser.begin();
-        }
+        parser.skipInformational();
         answer.isComplete = parser.isComplete();
     }
     answer.status = parser.head().status;
--- a/Tests/LibNet/TestStreamConnection.cpp
+++ b/Tests/LibNet/TestStreamConnection.cpp
@@ -149,8 +149,7 @@
 
 TEST_CASE("What arrived before a reset is received")
 {
-    // Guards against a complete answer that is lost because its target resets the connection instead of reading the
-    // rest of the request.
+    // Guards against a complete answer that is lost because its target resets the connection after it.
     ConnectedPair pair;
     // Less than the receive buffer holds, so that all of it has arrived.
     const std::string answer(50'000, 'a');
--- a/Tests/Platform/TestRulesFormat.cpp
+++ b/Tests/Platform/TestRulesFormat.cpp
@@ -214,8 +214,7 @@
 
 TEST_CASE("A target's address with a leading zero is rejected")
 {
-    // Guards against an address that one reader takes as decimal and another one as octal, which ended every process
-    // with a host name that can't be resolved, or sent requests to another address than the entry's.
+    // Guards against an address that one reader takes as decimal and another one as octal or as a host name.
     for (const char *address :
          { "10.128.0.08:8080", "10.128.0.010:8080", "010.128.0.9:8080", "10.128.00.9:8080", "10.128.0.9:08080" }) {
         CAPTURE(address);
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -1,3 +1,4 @@
+#include <Fakes/EndpointText.h>
 #include <StandIns/Store/StoreStandIn.h>
 #include <platform/StoreSources.h>
 
@@ -264,8 +265,8 @@
     VmRecord record;
     record.vm = VmId("vm-1");
     record.locality = { RegionId("cuyo"), AvailabilityZoneId("cuyo-a") };
-    record.callerAddress = Ipv4Endpoint(Ipv4Address(0x0a000001), 80);
-    record.peerAddress = Ipv4Endpoint(Ipv4Address(0x0a000001), 81);
+    record.callerAddress = endpoint("10.0.0.1:80");
+    record.peerAddress = endpoint("10.0.0.1:81");
     StoreFaults losing;
     losing.answersToDrop = 1;
     store.setFaults(losing);
