--- a/Tests/LibTarget/TestTargetExchange.cpp
+++ b/Tests/LibTarget/TestTargetExchange.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// More than the sockets take while the target doesn't read.
+constexpr std::size_t longUpload = 16'000'000;
+
 /// An exchange with its pool, and helpers to send requests through it.
 struct Fixture
 {
@@ -123,10 +126,11 @@
         for (const bool isReset : { true, false }) {
             CAPTURE(framing);
             CAPTURE(isReset);
-            const std::string part = framing.starts_with('T') ? "5\r\nabcde\r\n" : "abcde";
+            std::string beginning = "HTTP/1.1 200 OK\r\n" + framing;
+            beginning += framing.starts_with('T') ? "\r\n5\r\nabcde\r\n" : "\r\nabcde";
             const ScriptedTarget target([&](Poco::Net::StreamSocket &socket) {
                 ScriptedTarget::readHead(socket);
-                ScriptedTarget::write(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + part);
+                ScriptedTarget::write(socket, beginning);
                 if (isReset) {
                     socket.setLinger(true, 0);
                 } else {
@@ -138,7 +142,7 @@
                 }
             });
             Fixture fixture(target.address());
-            const std::string upload(16'000'000, 'x');
+            const std::string upload(longUpload, 'x');
             RequestHead request = fixture.head("/");
             request.method = "POST";
             request.bodyBytes = upload.size();
