SapphireLoad: Don't count a truncated answer as answered

Cause: POCO's client takes the end of the connection for the end of any body.

Change: LoadCaller uses HttpConnection of Tests/Harness, whose reader tells a cut answer from a whole one; no second reader is written. Such an answer has the reason "cut" and isn't repeated at the next VM, so that it is counted.

Failed before: "A cut answer isn't counted as answered", 4 of 4 answers with GET and with POST; the case of whole answers passed before too.

--- a/Tests/Harness/HttpConnection.h
+++ b/Tests/Harness/HttpConnection.h
@@ -30,6 +30,12 @@
     /// error's verdict is MayHaveRun once a byte was sent.
     [[nodiscard]] Result<HttpAnswer> exchange(const std::string &request, bool hasNoAnswerBody, Deadline deadline);
 
+    /// Whether another request may follow a complete answer: the peer has neither closed the connection nor sent more.
+    bool isReusable()
+    {
+        return !m_socket->hasInput();
+    }
+
 private:
     HttpConnection();
 
--- a/Utilities/SapphireLoad/LoadCaller.cpp
+++ b/Utilities/SapphireLoad/LoadCaller.cpp
@@ -1,12 +1,11 @@
 #include <SapphireLoad/LoadCaller.h>
 
+#include <LibNet/SocketAddresses.h>
+
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/String.h>
 
 namespace Sapphire {
 
@@ -15,10 +14,18 @@
 constexpr Milliseconds lookUpTimeout { 2'000 };
 constexpr Milliseconds timeoutMargin { 1'000 };
 constexpr int firstErrorStatus = 400;
+constexpr std::string_view cutAnswer = "cut";
 
-Poco::Timespan timespan(Milliseconds time)
+std::string_view reasonOf(ErrorCode code)
 {
-    return { time.count() * 1'000 };
+    switch (code) {
+    case ErrorCode::Timeout:
+        return "timeout";
+    case ErrorCode::DataLoss:
+        return cutAnswer;
+    default:
+        return "connection";
+    }
 }
 
 } // namespace
@@ -44,16 +51,28 @@
 {
 }
 
-Poco::Net::HTTPClientSession &LoadCaller::session(const std::string &vm)
+Result<HttpConnection *> LoadCaller::connectionTo(const std::string &vm, Deadline deadline)
 {
-    std::unique_ptr<Poco::Net::HTTPClientSession> &entry = m_sessions[vm];
-    if (!entry) {
+    std::unique_ptr<HttpConnection> &connection = m_connections[vm];
+    if (!connection || !connection->isReusable()) {
         const auto mapped = m_plan.addressMap.find(vm);
-        entry = std::make_unique<Poco::Net::HTTPClientSession>(
-            Poco::Net::SocketAddress(mapped == m_plan.addressMap.end() ? vm : mapped->second));
-        entry->setKeepAlive(true);
+        BOOST_LEAF_AUTO(address, Ipv4Endpoint::parse(mapped == m_plan.addressMap.end() ? vm : mapped->second));
+        BOOST_LEAF_ASSIGN(connection, HttpConnection::create(socketAddressOf(address), deadline));
+    }
+    return connection.get();
+}
+
+Outcome<HttpAnswer> LoadCaller::exchange(const std::string &vm, const std::string &request, Milliseconds timeout)
+{
+    const Deadline deadline = Deadline::after(m_clock.now(), timeout);
+    Outcome<HttpAnswer> answer = capture([&]() -> Result<HttpAnswer> {
+        BOOST_LEAF_AUTO(connection, connectionTo(vm, deadline));
+        return connection->exchange(request, false, deadline);
+    });
+    if (!answer || Poco::icompare(answer.value().header("Connection").value_or(""), "close") == 0) {
+        m_connections.erase(vm);
     }
-    return *entry;
+    return answer;
 }
 
 LookUpCache::Entry LoadCaller::anyVm() const
@@ -73,17 +92,14 @@
     }
     for (std::size_t attempt = 0; attempt < origin.vms.size(); ++attempt) {
         const std::string &vm = origin.vms[m_random.below(origin.vms.size())];
+        const HttpHeaders headers { { "Host", vm }, { "Authorization", "Bearer " + customer.key } };
+        const Outcome<HttpAnswer> answer = exchange(vm, writeRequest("GET", "/v1/lookup", headers, ""), lookUpTimeout);
+        if (!answer) {
+            continue;
+        }
         try {
-            Poco::Net::HTTPClientSession &connection = session(vm);
-            connection.setTimeout(timespan(lookUpTimeout));
-            Poco::Net::HTTPRequest request("GET", "/v1/lookup", Poco::Net::HTTPMessage::HTTP_1_1);
-            request.set("Authorization", "Bearer " + customer.key);
-            connection.sendRequest(request);
-            Poco::Net::HTTPResponse response;
-            std::string body;
-            Poco::StreamCopier::copyToString(connection.receiveResponse(response), body);
             Poco::JSON::Parser parser;
-            const auto object = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+            const auto object = parser.parse(answer.value().body).extract<Poco::JSON::Object::Ptr>();
             LookUpCache::Entry entry;
             for (const char *list : { "vms", "alternatives" }) {
                 const Poco::JSON::Array::Ptr vms = object->getArray(list);
@@ -99,7 +115,8 @@
                 return entry;
             }
         } catch (const Poco::Exception &) {
-            m_sessions.erase(vm);
+            // Not a look-up's answer; the next VM may give one.
+            continue;
         }
     }
     return anyVm();
@@ -115,9 +132,10 @@
         id = (m_plan.usesIssuedIds ? entry.requestIdPrefix : "") + idSuffix;
     }
     LoadAnswer answer = send(entry.vms.front(), customer, route, id);
-    const bool mayTryNextVm = answer.status == 0 && !isChange && entry.vms.size() > 1;
+    const bool mayTryNextVm = answer.status == 0 && answer.reason != cutAnswer && !isChange && entry.vms.size() > 1;
     if (mayTryNextVm) {
-        // A caller that gets no answer repeats a read at the next VM that the look-up named.
+        // A caller that gets no answer repeats a read at the next VM that the look-up named. A cut one is not repeated,
+        // so that it is counted.
         answer = send(entry.vms[1], customer, route, id);
     }
     return answer;
@@ -126,38 +144,28 @@
 LoadAnswer LoadCaller::send(const std::string &vm, const LoadCustomer &customer, const LoadRoute &route,
                             const std::string &id)
 {
+    HttpHeaders headers { { "Host", vm },
+                          { "Authorization", "Bearer " + customer.key },
+                          { "Request-Timeout-Ms", std::to_string(route.timeout.count()) } };
+    if (!id.empty()) {
+        headers.emplace_back("Idempotency-Key", id);
+    }
+    const std::string request = writeRequest(route.method, "/v1/services/" + route.service + route.path, headers, "");
+    Outcome<HttpAnswer> received = exchange(vm, request, route.timeout + timeoutMargin);
     LoadAnswer answer;
-    try {
-        Poco::Net::HTTPClientSession &connection = session(vm);
-        connection.setTimeout(timespan(route.timeout + timeoutMargin));
-        Poco::Net::HTTPRequest request(route.method, "/v1/services/" + route.service + route.path,
-                                       Poco::Net::HTTPMessage::HTTP_1_1);
-        request.set("Authorization", "Bearer " + customer.key);
-        request.set("Request-Timeout-Ms", std::to_string(route.timeout.count()));
-        if (!id.empty()) {
-            request.set("Idempotency-Key", id);
-            request.setContentLength(0);
-        }
-        connection.sendRequest(request);
-        Poco::Net::HTTPResponse response;
-        Poco::StreamCopier::copyToString(connection.receiveResponse(response), answer.body);
-        answer.status = response.getStatus();
-        answer.verdict = response.get("Sapphire-Verdict", "");
-        answer.reason = answer.status < firstErrorStatus
-            ? ""
-            : response.get("Sapphire-Reason", "status-" + std::to_string(answer.status));
-        const std::string servedBy = response.get("Sapphire-Served-By", "");
-        answer.region = servedBy.substr(0, servedBy.find('/'));
-        if (!response.getKeepAlive()) {
-            m_sessions.erase(vm);
-        }
-    } catch (const Poco::TimeoutException &) {
-        m_sessions.erase(vm);
-        answer.reason = "timeout";
-    } catch (const Poco::Exception &) {
-        m_sessions.erase(vm);
-        answer.reason = "connection";
+    if (!received) {
+        answer.reason = reasonOf(received.error().code);
+        return answer;
+    }
+    HttpAnswer &http = received.value();
+    answer.status = http.status;
+    answer.verdict = http.header("Sapphire-Verdict").value_or("");
+    if (answer.status >= firstErrorStatus) {
+        answer.reason = http.header("Sapphire-Reason").value_or("status-" + std::to_string(answer.status));
     }
+    const std::string servedBy = http.header("Sapphire-Served-By").value_or("");
+    answer.region = servedBy.substr(0, servedBy.find('/'));
+    answer.body = std::move(http.body);
     return answer;
 }
 
--- a/Utilities/SapphireLoad/LoadCaller.h
+++ b/Utilities/SapphireLoad/LoadCaller.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include <Harness/HttpConnection.h>
 #include <LibCore/BootClock.h>
 #include <LibCore/RandomSource.h>
 #include <SapphireLoad/LoadPlan.h>
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <map>
 #include <memory>
 #include <mutex>
@@ -36,7 +35,7 @@
 /// The outcome of a call.
 struct LoadAnswer
 {
-    int status { 0 }; ///< 0 if there was no HTTP answer.
+    int status { 0 }; ///< 0 if there was no complete HTTP answer.
     std::string reason {}; ///< Of the refusal or error.
     std::string verdict {};
     std::string region {}; ///< Of the VM that ran the request.
@@ -58,13 +57,17 @@
     /// Returns an entry for a random VM of a random origin.
     LookUpCache::Entry anyVm() const;
     LoadAnswer send(const std::string &vm, const LoadCustomer &customer, const LoadRoute &route, const std::string &id);
-    Poco::Net::HTTPClientSession &session(const std::string &vm);
+    /// Returns the kept connection to the VM, or a new one. Fails as HttpConnection::create() does.
+    Result<HttpConnection *> connectionTo(const std::string &vm, Deadline deadline);
+    /// Sends a request on the kept connection to the VM, or on a new one, and waits for the whole answer. Fails as
+    /// HttpConnection::exchange() does.
+    Outcome<HttpAnswer> exchange(const std::string &vm, const std::string &request, Milliseconds timeout);
 
     const LoadPlan &m_plan;
     LookUpCache &m_cache;
     BootClock m_clock;
     mutable RandomSource m_random;
-    std::map<std::string, std::unique_ptr<Poco::Net::HTTPClientSession>> m_sessions;
+    std::map<std::string, std::unique_ptr<HttpConnection>> m_connections;
 };
 
 } // namespace Sapphire
