review: Show that a machine that wakes up spreads an old list of upstreams

A read that was answered before a freeze is applied and broadcast after it, and machines take a change by the list that it starts from, not by its age.

--- a/review/stand-ins-3/StandIns.hh
+++ b/review/stand-ins-3/StandIns.hh
@@ -34,6 +34,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace Review {
@@ -570,6 +571,25 @@
             m_refused.erase(machine);
         }
     }
+    /// The time that a machine's calls and their answers take on the way, together.
+    void setRoundTrip(double seconds)
+    {
+        m_roundTrip = seconds;
+    }
+    /// Returns the machine that has read the table last.
+    std::string lastReader(const std::string &table)
+    {
+        const std::lock_guard guard(m_mutex);
+        return m_lastReader[table];
+    }
+    /// Calls the function once, when the next answer to a read of the table by the machine is on its way.
+    void onNextRead(const std::string &machine, const std::string &table, std::function<void()> function)
+    {
+        const std::lock_guard guard(m_mutex);
+        m_hookMachine = machine;
+        m_hookTable = table;
+        m_hook = std::move(function);
+    }
     std::vector<std::string> keys(const std::string &table)
     {
         const std::lock_guard guard(m_mutex);
@@ -629,7 +649,8 @@
                 rest.erase(0, end + 1);
             }
         }
-        sleepFor(0.004); // An answer takes 4 ms.
+        sleepFor(0.004 + m_roundTrip / 2); // An answer takes 4 ms.
+        std::function<void()> hook;
         int status = 200;
         std::string body;
         const double feedEnd = now() + std::atof(query["wait_ms"].c_str()) / 1000;
@@ -647,6 +668,10 @@
                 }
                 if (path == "/rows-get") {
                     body = get(query);
+                    m_lastReader[query["table"]] = machine;
+                    if (m_hook && machine == m_hookMachine && query["table"] == m_hookTable) {
+                        hook = std::exchange(m_hook, nullptr);
+                    }
                     break;
                 }
                 if (path == "/rows-tx") {
@@ -673,6 +698,10 @@
             }
             sleepFor(0.005);
         }
+        if (hook) {
+            hook();
+        }
+        sleepFor(m_roundTrip / 2);
         return stream.write(answerText(
             status, { { "Content-Type", "application/json" }, { "Store-Era", std::to_string(m_era) } }, body));
     }
@@ -742,6 +771,11 @@
     std::atomic<int> m_resets { 0 };
     std::atomic<int> m_era { 1 };
     std::set<std::string> m_refused;
+    std::atomic<double> m_roundTrip { 0 };
+    std::map<std::string, std::string> m_lastReader; ///< By table.
+    std::string m_hookMachine;
+    std::string m_hookTable;
+    std::function<void()> m_hook;
     std::vector<std::unique_ptr<Door>> m_doors;
 };
 
@@ -792,6 +826,7 @@
     /// Headers that are added to each answer.
     std::function<Headers(const Message &)> extraHeaders;
     double downTime { 2.0 }; ///< After a crash.
+    std::atomic<bool> isLeaving { false }; ///< Says so in its entry and in all answers.
     double answerDelay { 0 }; ///< For the way of an answer.
     double retryAfter { 0 }; ///< With Conduct::TurnAway.
     double registrationLag { 0 }; ///< From a start after a crash until it writes its entry.
@@ -826,7 +861,7 @@
         m_store.set("servers", m_plan.id,
                     "{\"service\":" + jsonString(m_plan.service) + ",\"address\":" + jsonString(address()) + ",\"zone\":"
                         + jsonString(m_plan.zone) + ",\"version\":\"v1\",\"slots\":" + std::to_string(m_plan.slots)
-                        + ",\"state\":\"ready\",\"cold_left\":\"0ms\",\"sequence\":" + std::to_string(++m_sequence)
+                        + ",\"state\":\"" + (isLeaving ? "draining" : "ready") + "\",\"cold_left\":\"0ms\",\"sequence\":" + std::to_string(++m_sequence)
                         + ",\"born\":" + std::to_string(m_born.load()) + "}");
     }
     std::string address() const
@@ -897,6 +932,9 @@
                              std::to_string(m_running.load()) + "," + std::to_string(m_waiting.load()) + ","
                                  + std::to_string(m_plan.slots));
         headers.emplace_back("Keep-Alive", "timeout=10");
+        if (isLeaving) {
+            headers.emplace_back("Server-Leaving", "1");
+        }
         if (extraHeaders) {
             const Headers more = extraHeaders(request);
             headers.insert(headers.end(), more.begin(), more.end());
