platform, LibEntry: Order what the store tells by its era before its version

Cause: positions in the store's history were version numbers that were compared as if they always rose. They go back when the store comes back from a copy. TableWatch dropped what it read at a lower version and reported success; where the store had passed the old version before a VM read, the feed went on from a number that named other content. Nothing read Store-Era.

Change: SourceRevision holds an epoch and a number and is ordered by both; the store client, the watches, documents, heartbeats and the read schedule use it. EpochTracker refuses answers whose epoch is missing, unreadable or has fallen. Evacuations that the copy lacks are kept for 10 s, and refusals aren't final while the newest configuration is lost.

Ruled out: accepting a lower version after a 410 alone leaves the second form, which sees no 410.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -46,9 +46,10 @@
     , m_loop(std::move(loop))
     , m_own(ownRecord(m_settings, *m_clock))
     , m_roster(m_own.vm, m_own.locality, {})
-    , m_goneTimer(*m_loop, [this] {
-        findGoneVms();
-    })
+    , m_goneTimer(*m_loop,
+                  [this] {
+                      findGoneVms();
+                  })
 {
 }
 
@@ -150,9 +151,14 @@
     m_metrics.gauge("sapphire_rules_behind_seconds", "", [this] {
         return std::chrono::duration<double>(m_operatorStateSynchronizer->behindFor()).count();
     });
+    m_metrics.gauge("sapphire_platform_epoch", "", [this] {
+        return static_cast<double>(m_operatorStateSynchronizer->epoch().value());
+    });
     m_gateway->setRulesConfirmation([this] {
-        return RulesConfirmation { m_operatorStateSynchronizer->confirmedAt(),
-                                   m_operatorStateSynchronizer->isIncomplete() || m_isConfigurationUnreadable };
+        const OperatorStateSynchronizer &synchronizer = *m_operatorStateSynchronizer;
+        return RulesConfirmation { synchronizer.confirmedAt(),
+                                   synchronizer.isIncomplete() || synchronizer.isAwaitingRewrite()
+                                       || m_isConfigurationUnreadable };
     });
     m_targetListSynchronizer =
         std::make_unique<TargetListSynchronizer>(context, TargetListSynchronizerSettings { m_settings.isFirstStart },
@@ -230,9 +236,10 @@
 Result<void> EntryDaemon::synchronizeVmList()
 {
     const TimePoint begunAt = m_clock->now();
-    BOOST_LEAF_AUTO(vms, m_adapter.vmRegistry->next(Milliseconds(0), Deadline::after(begunAt, callTime)));
+    BOOST_LEAF_AUTO(list, m_adapter.vmRegistry->next(Milliseconds(0), Deadline::after(begunAt, callTime)));
     const Microseconds roundTrip = m_clock->now() - begunAt;
     const Deadline writeDeadline = Deadline::after(m_clock->now(), callTime);
+    const std::vector<VmRecord> &vms = list.records;
     const auto own = std::find_if(vms.begin(), vms.end(), [this](const VmRecord &record) {
         return record.vm == m_own.vm;
     });
@@ -252,8 +259,8 @@
     for (const VmId &vm : takeGoneVms()) {
         BOOST_LEAF_CHECK(m_adapter.vmRegistry->leave(vm, writeDeadline));
     }
-    post([this, vms = std::move(vms)] {
-        applyVms(vms);
+    post([this, list = std::move(list)] {
+        applyVms(list);
     });
     return {};
 }
@@ -276,8 +283,9 @@
     m_goneTimer.start(Deadline::after(now, goneInterval));
 }
 
-void EntryDaemon::applyVms(const std::vector<VmRecord> &records)
+void EntryDaemon::applyVms(const VmList &list)
 {
+    const std::vector<VmRecord> &records = list.records;
     m_peers->applyRecords(records);
     std::vector<RendezvousCandidate> vms { { m_own.vm, m_own.locality.region } };
     for (const VmRecord &record : records) {
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -55,7 +55,7 @@
     Result<void> synchronizeVmList();
     std::vector<VmId> takeGoneVms();
     void findGoneVms();
-    void applyVms(const std::vector<VmRecord> &records);
+    void applyVms(const VmList &list);
     void post(EventLoop::Task task);
     void requestTokens(const CustomerId &customer) override;
     bool mayReceiveTokens(const CustomerId &customer) override;
--- a/Libraries/LibEntry/EntryEvents.h
+++ b/Libraries/LibEntry/EntryEvents.h
@@ -15,6 +15,10 @@
 inline constexpr EventType listTakenOver { 12011, "list-taken-over", Severity::Info };
 /// This VM has known for a second that there is a newer list than its own.
 inline constexpr EventType listBehind { 12012, "list-behind", Severity::Warning };
+/// The rules are now known in a later epoch of the platform, which has come back from an older copy.
+inline constexpr EventType platformEpochRisen { 12013, "platform-epoch-risen", Severity::Warning };
+/// The older copy lacks the newest configuration or evacuations, which this VM keeps in force.
+inline constexpr EventType operatorStateKept { 12014, "operator-state-kept", Severity::Warning };
 inline constexpr EventType settingsReloaded { 12006, "settings-reloaded", Severity::Info };
 inline constexpr EventType settingsRejected { 12007, "settings-rejected", Severity::Error };
 inline constexpr EventType loopOverloaded { 12008, "loop-overloaded", Severity::Error };
--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -70,7 +70,7 @@
         applyState(current);
         const bool isNews = this->schedule().hasList() && m_applied.digest != this->schedule().digest();
         SourceUpdate update { SourceKind::Rules, m_applied.digest, answeredAt, {}, {} };
-        update.document = isNews ? m_document : std::string();
+        update.document = isNews ? m_state.document : std::string();
         update.revision = m_applied.revision;
         finishRead({ update });
     });
@@ -83,8 +83,24 @@
         return;
     }
     m_applied = { digestOf(state), state.revision };
-    m_document = state.document;
-    m_onState(state);
+    m_state = state;
+    passOn(state);
+}
+
+void OperatorStateSynchronizer::passOn(const OperatorState &state)
+{
+    const SourceEpoch before = m_guard.epoch();
+    const OperatorState inForce = m_guard.take(state, loop().now());
+    const std::size_t keptEvacuations = inForce.evacuatedZones.size() - state.evacuatedZones.size();
+    const bool isConfigurationLost = m_guard.isAwaitingRewrite(loop().now());
+    if (m_guard.epoch() != before && (isConfigurationLost || keptEvacuations > 0)) {
+        logEvent(EntryEvents::operatorStateKept,
+                 { { "epoch", m_guard.epoch() },
+                   { "configuration", state.rules ? state.rules->version() : ConfigurationVersion() },
+                   { "configurationLost", isConfigurationLost },
+                   { "keptEvacuations", keptEvacuations } });
+    }
+    m_onState(inForce);
 }
 
 void OperatorStateSynchronizer::applyUpdate(const SourceUpdate &update)
@@ -151,6 +167,10 @@
 void OperatorStateSynchronizer::requestSync(std::size_t)
 {
     const TimePoint now = loop().now();
+    if (m_guard.mustRelease(now)) {
+        passOn(m_state);
+    }
+    noteEpoch();
     // At its start a VM reads the platform, and asks others only if it can't.
     const bool isNeeded = schedule().isIncomplete() && (schedule().hasList() || schedule().hasFailed());
     if (!isNeeded) {
@@ -168,6 +188,15 @@
     }
 }
 
+void OperatorStateSynchronizer::noteEpoch()
+{
+    const SourceEpoch before = std::exchange(m_epoch, epoch());
+    if (m_epoch > before && before != SourceEpoch()) {
+        logEvent(EntryEvents::platformEpochRisen, { { "epoch", m_epoch }, { "before", before } });
+        m_onEpochRisen();
+    }
+}
+
 VmId OperatorStateSynchronizer::nextSyncPeer()
 {
     switch (m_nextSyncPeer) {
@@ -204,7 +233,7 @@
     SourceUpdate reply { SourceKind::Rules, schedule().digest(), schedule().confirmedAt(), {}, {} };
     reply.revision = schedule().revision();
     if (reply.digest != digest) {
-        reply.document = m_document;
+        reply.document = m_state.document;
     }
     context().peers.sendRules(asker, reply);
 }
--- a/Libraries/LibEntry/OperatorStateSynchronizer.h
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/RandomSource.h>
+#include <LibEntry/OperatorStateGuard.h>
 #include <LibEntry/PlatformSources.h>
 #include <LibEntry/SharedSourceSynchronizer.h>
 #include <LibSteering/SyncRequestPolicy.h>
@@ -24,6 +25,21 @@
     void takeStatus(const VmId &vm, const RulesStatus &status);
     /// Answers the rules request of a VM that has rules with the given digest.
     void answerRulesRequest(const VmId &asker, std::uint64_t digest);
+    /// The newest epoch of the platform in which the rules are known to have been the platform's.
+    SourceEpoch epoch() const
+    {
+        return schedule().revision().epoch();
+    }
+    /// Sets what is called when the platform has come back from an older copy. The rules may be the same.
+    void onEpochRisen(std::function<void()> handler)
+    {
+        m_onEpochRisen = std::move(handler);
+    }
+    /// Whether the platform has lost the newest configuration, and the operators may still write it again.
+    bool isAwaitingRewrite() const
+    {
+        return m_guard.isAwaitingRewrite(context().loop.now());
+    }
     /// Applies another VM's reply to a rules request.
     void takeRulesReply(const SourceUpdate &reply);
 
@@ -39,19 +55,26 @@
     void applyUpdate(const SourceUpdate &update) override;
     std::optional<Task> processPendingUpdate() override;
     void requestSync(std::size_t rank) override;
+    /// Notices that the platform has come back from an older copy.
+    void noteEpoch();
     VmId nextSyncPeer();
     VmId randomVm(const std::vector<VmId> &vms);
     /// Keeps an update for processPendingUpdate(), unless a newer one waits already.
     void storePending(const SourceUpdate &update);
     /// Passes the state on, unless a newer one was passed on before.
     void applyState(const OperatorState &state);
+    /// Passes on the state and the evacuations that the platform has lost in a return from a copy.
+    void passOn(const OperatorState &state);
 
     OperatorStateSource &m_source;
     std::mutex m_pendingMutex;
     std::optional<SourceUpdate> m_pendingUpdate; ///< Of another VM, to be processed on a thread of its own.
     std::function<void(const OperatorState &)> m_onState;
     RulesStatus m_applied; ///< Of the state that was passed on last.
-    std::string m_document; ///< That state in serialized form, for other VMs.
+    OperatorState m_state; ///< What the platform or another VM told last.
+    OperatorStateGuard m_guard;
+    SourceEpoch m_epoch; ///< As noticed last.
+    std::function<void()> m_onEpochRisen = [] {};
     RandomSource m_random { RandomSource::seededBySystem() };
     SyncRequestPolicy m_syncRequests;
     SyncPeer m_nextSyncPeer { SyncPeer::OfOwnZone };
--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Deadline.h>
 #include <LibCore/Result.h>
+#include <LibCore/SourceRevision.h>
 #include <LibSteering/ServingRules.h>
-#include <LibSteering/SourceRevision.h>
 #include <LibSteering/TargetListEntry.h>
 #include <LibSteering/VmRecord.h>
 
@@ -52,6 +52,13 @@
     [[nodiscard]] virtual Result<std::vector<TargetListEntry>> read(Deadline deadline) = 0;
 };
 
+/// The registered VMs.
+struct VmList
+{
+    std::vector<VmRecord> records;
+    SourceEpoch epoch; ///< The platform's, when they were read.
+};
+
 /// The platform's list of VMs, by which VMs find each other. To be used by one thread at a time; every call may block
 /// until its deadline.
 class VmRegistry
@@ -65,7 +72,7 @@
     [[nodiscard]] virtual Result<void> leave(const VmId &vm, Deadline deadline) = 0;
     /// Returns all records as soon as they differ from those returned last, or after the longest wait. The first call
     /// returns at once. Fails with Unavailable, Timeout and DataLoss.
-    [[nodiscard]] virtual Result<std::vector<VmRecord>> next(Milliseconds longestWait, Deadline deadline) = 0;
+    [[nodiscard]] virtual Result<VmList> next(Milliseconds longestWait, Deadline deadline) = 0;
 };
 
 } // namespace Sapphire
--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -131,7 +131,8 @@
     datagram.mutable_presence()->set_cannot_read(m_roster.ownPresence().cannotRead);
     const RulesStatus rules = m_rulesStatusProvider();
     datagram.mutable_presence()->set_rules_digest(rules.digest);
-    datagram.mutable_presence()->set_rules_revision(rules.revision.value());
+    datagram.mutable_presence()->set_rules_revision(rules.revision.number());
+    datagram.mutable_presence()->set_rules_epoch(rules.revision.epoch().value());
     writeDemands(m_demandProvider(), *datagram.mutable_presence()->mutable_demands());
     return datagram;
 }
@@ -282,9 +283,10 @@
                      Deadline::after(m_loop.now(), demandLifetime));
     m_roster.noteHeartbeat(sender.vm, datagram.started(), { isLeaving, datagram.presence().cannot_read() },
                            m_loop.now());
-    if (datagram.presence().rules_revision() > 0) {
-        m_onRulesStatus(sender.vm,
-                        { datagram.presence().rules_digest(), SourceRevision(datagram.presence().rules_revision()) });
+    const SourceRevision rulesRevision(SourceEpoch(datagram.presence().rules_epoch()),
+                                       datagram.presence().rules_revision());
+    if (rulesRevision.isKnown()) {
+        m_onRulesStatus(sender.vm, { datagram.presence().rules_digest(), rulesRevision });
     }
     if (isNewProcess || isFirst) {
         // The sender has not received this VM's presence yet, and may know no crash suspects.
--- a/Libraries/LibPeer/SourceUpdate.h
+++ b/Libraries/LibPeer/SourceUpdate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibSteering/SourceRevision.h>
+#include <LibCore/SourceRevision.h>
 #include <LibSteering/TargetList.h>
 
 #include <cstdint>
--- a/Libraries/LibPeer/SourceUpdateCodec.cpp
+++ b/Libraries/LibPeer/SourceUpdateCodec.cpp
@@ -48,7 +48,8 @@
     message.set_subject(isOfRules ? peer::Reading::SUBJECT_RULES : peer::Reading::SUBJECT_TARGETS);
     message.set_digest(update.digest);
     message.set_age(millisecondsUntil(update.readAt, now));
-    message.set_revision(update.revision.value());
+    message.set_revision(update.revision.number());
+    message.set_epoch(update.revision.epoch().value());
     message.set_base(update.change.base);
     message.set_is_relayed(update.isRelayed);
     for (const TargetListEntry &target : update.change.changed) {
@@ -75,7 +76,7 @@
     update.digest = message.digest();
     update.isRelayed = message.is_relayed();
     update.readAt = now - Milliseconds(message.age());
-    update.revision = SourceRevision(message.revision());
+    update.revision = SourceRevision(SourceEpoch(message.epoch()), message.revision());
     update.change.base = message.base();
     update.change.digest = message.digest();
     for (const peer::Target &target : message.changed()) {
--- a/Libraries/LibPlatform/PlatformConnection.cpp
+++ b/Libraries/LibPlatform/PlatformConnection.cpp
@@ -68,7 +68,7 @@
     std::string reason;
     try {
         send(request);
-        PlatformAnswer answer = receive(maxAnswerBytes);
+        PlatformAnswer answer = receive(request, maxAnswerBytes);
         m_lastUse = BootClock().now();
         return answer;
     } catch (const Poco::TimeoutException &) {
@@ -102,7 +102,7 @@
     m_deadlineSocket->sendBytes(bytes.data(), static_cast<int>(bytes.size()), 0);
 }
 
-PlatformAnswer PlatformConnection::receive(std::size_t maxAnswerBytes)
+PlatformAnswer PlatformConnection::receive(const PlatformRequest &request, std::size_t maxAnswerBytes)
 {
     HttpParser parser(HttpParser::Kind::Answer, mostHeadBytes);
     PlatformAnswer answer;
@@ -129,6 +129,9 @@
     }
     answer.status = parser.head().status;
     answer.entityTag = parser.head().header("ETag").value_or("");
+    if (!request.epochHeader.empty()) {
+        answer.epoch = parser.head().header(request.epochHeader);
+    }
     m_isComplete = parser.head().keepsConnection && bytes.empty();
     return answer;
 }
--- a/Libraries/LibPlatform/PlatformConnection.h
+++ b/Libraries/LibPlatform/PlatformConnection.h
@@ -36,7 +36,7 @@
     PlatformConnection(DeadlineSocket *socket, const Poco::Net::SocketAddress &address);
 
     void send(const PlatformRequest &request);
-    PlatformAnswer receive(std::size_t maxAnswerBytes);
+    PlatformAnswer receive(const PlatformRequest &request, std::size_t maxAnswerBytes);
 
     Poco::Net::StreamSocket m_socket;
     DeadlineSocket *m_deadlineSocket; ///< Owned by m_socket.
--- a/Libraries/LibPlatform/PlatformExchange.h
+++ b/Libraries/LibPlatform/PlatformExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 namespace Sapphire {
@@ -15,6 +16,7 @@
     std::string conditionValue;
     std::string body;
     std::string contentType {}; ///< Of the body; empty to leave it out.
+    std::string epochHeader {}; ///< Header of the answer that tells the platform's epoch; empty if there is none.
 
     bool isWrite() const
     {
@@ -28,6 +30,7 @@
     int status { 0 };
     std::string entityTag;
     std::string body;
+    std::optional<std::string> epoch {}; ///< The text of the request's epochHeader, if the answer has it.
 };
 
 } // namespace Sapphire
--- a/Libraries/LibSteering/ReadSchedule.cpp
+++ b/Libraries/LibSteering/ReadSchedule.cpp
@@ -66,8 +66,8 @@
     m_isReading = false;
     m_hasFailed = false;
     // An answer that this VM took late may be older than a list of which it has heard since the read began.
-    const bool isOutdated = m_isIncomplete && revision > SourceRevision() && m_wantedHeardAt > m_begunAt
-        && isWantedNewer(digest, readAt, revision);
+    const bool isOutdated =
+        m_isIncomplete && revision.isKnown() && m_wantedHeardAt > m_begunAt && isWantedNewer(digest, readAt, revision);
     noteAdopted(digest, readAt);
     m_revision = std::max(m_revision, revision);
     m_isIncomplete = isOutdated;
@@ -90,7 +90,7 @@
 
 bool ReadSchedule::isWantedNewer(std::uint64_t digest, TimePoint readAt, SourceRevision revision) const
 {
-    if (revision > SourceRevision() && m_wantedRevision > SourceRevision()) {
+    if (revision.isComparableWith(m_wantedRevision)) {
         return digest != m_wantedDigest && revision < m_wantedRevision;
     }
     return readAt + timestampTolerance < m_wantedAt;
@@ -105,15 +105,14 @@
         m_isIncomplete = m_isIncomplete && isWantedNewer(digest, readAt, revision);
         return;
     }
-    const bool areRevisionsKnown = revision > SourceRevision() && m_revision > SourceRevision();
-    if (areRevisionsKnown ? revision > m_revision : readAt > m_confirmedAt) {
+    if (revision.isComparableWith(m_revision) ? revision > m_revision : readAt > m_confirmedAt) {
         noteMissing(digest, readAt, revision, now);
     }
 }
 
 void ReadSchedule::noteListOfOther(std::uint64_t digest, SourceRevision revision, TimePoint now)
 {
-    if (digest != m_digest && revision > m_revision && m_revision > SourceRevision()) {
+    if (digest != m_digest && revision.isComparableWith(m_revision) && revision > m_revision) {
         noteMissing(digest, now, revision, now);
     }
 }
@@ -126,8 +125,8 @@
     if (!m_isIncomplete || m_incompleteSince == TimePoint {}) {
         m_incompleteSince = now;
     }
-    const bool areRevisionsKnown = revision > SourceRevision() && m_wantedRevision > SourceRevision();
-    const bool isNewest = areRevisionsKnown ? revision >= m_wantedRevision : readAt >= m_wantedAt;
+    const bool isNewest =
+        revision.isComparableWith(m_wantedRevision) ? revision >= m_wantedRevision : readAt >= m_wantedAt;
     if (!m_isIncomplete || isNewest) {
         m_wantedAt = readAt;
         m_wantedDigest = digest;
--- a/Libraries/LibSteering/ReadSchedule.h
+++ b/Libraries/LibSteering/ReadSchedule.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Deadline.h>
-#include <LibSteering/SourceRevision.h>
+#include <LibCore/SourceRevision.h>
 
 #include <cstddef>
 #include <cstdint>
--- a/Tests/Entry/EntryDeployment.cpp
+++ b/Tests/Entry/EntryDeployment.cpp
@@ -98,13 +98,15 @@
     for (const std::string &key : rules.keys) {
         keys += (keys.empty() ? "\"" : ",\"") + key + "\"";
     }
+    const std::string addedRoute =
+        rules.addedRoute.empty() ? "" : "," + routeText(rules.addedRoute, "idempotent", rules, "s");
     char version[9];
     std::snprintf(version, sizeof version, "%08x", rules.version);
     m_store.set(
         "op", "config",
         "{\"version\":\"" + std::string(version) + "\",\"routes\":["
             + routeText("read", "idempotent", rules, rules.readService) + ","
-            + routeText("book", "non_idempotent", rules, "s")
+            + routeText("book", "non_idempotent", rules, "s") + addedRoute
             + "],\"services\":[{\"name\":\"s\",\"health_path\":\"/health\",\"cold_start\":\"3s\",\"cold_per_s\":9.5},"
             + "{\"name\":\"other\",\"health_path\":\"/health\"}],"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1000000,\"header_timeout\":\"3s\","
--- a/Tests/Entry/EntryDeployment.h
+++ b/Tests/Entry/EntryDeployment.h
@@ -33,6 +33,7 @@
     double rate { 500 };
     std::vector<std::string> keys { "key-1" };
     std::string readService { "s" };
+    std::string addedRoute {}; ///< Name of a third route; empty for none.
     std::string allowedRegion; ///< The only region that may run the requests; empty if all may.
 };
 
--- a/Tests/LibEntry/RulesRegion.h
+++ b/Tests/LibEntry/RulesRegion.h
@@ -134,7 +134,7 @@
         state.rules = makeRefCounted<ServingRules>(std::move(content));
         state.evacuatedZones = { AvailabilityZoneId(std::to_string(m_version)) };
         state.document = std::to_string(m_version);
-        state.revision = SourceRevision(m_version);
+        state.revision = SourceRevision(SourceEpoch(), m_version);
         return state;
     }
 
--- a/Tests/LibSteering/TestReadSchedule.cpp
+++ b/Tests/LibSteering/TestReadSchedule.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t second = 1;
 constexpr std::size_t later = 50;
 
+SourceRevision revision(std::uint64_t number, std::uint64_t epoch = 0)
+{
+    return { SourceEpoch(epoch), number };
+}
+
 /// A schedule that has read the list once, at the start.
 ReadSchedule scheduleAfterRead()
 {
@@ -63,15 +68,15 @@
     // Guards against a VM that takes its old rules for current since a VM that was frozen reports them as read now.
     ReadSchedule schedule({});
     schedule.noteBegun(start, later);
-    schedule.noteRead(digest, start, SourceRevision(10));
-    schedule.noteReportedDigest(otherDigest, start + Milliseconds(500), start + Milliseconds(500), SourceRevision(9));
+    schedule.noteRead(digest, start, revision(10));
+    schedule.noteReportedDigest(otherDigest, start + Milliseconds(500), start + Milliseconds(500), revision(9));
     CHECK(!schedule.isIncomplete());
-    schedule.noteReportedDigest(otherDigest, start - Milliseconds(1), start + Milliseconds(600), SourceRevision(12));
+    schedule.noteReportedDigest(otherDigest, start - Milliseconds(1), start + Milliseconds(600), revision(12));
     CHECK(schedule.isIncomplete());
-    schedule.noteReportedDigest(digest, start + Milliseconds(900), start + Milliseconds(900), SourceRevision(11));
+    schedule.noteReportedDigest(digest, start + Milliseconds(900), start + Milliseconds(900), revision(11));
     CHECK(schedule.isIncomplete());
     // The state may have become the earlier one again.
-    schedule.noteReportedDigest(digest, start + Milliseconds(900), start + Milliseconds(900), SourceRevision(13));
+    schedule.noteReportedDigest(digest, start + Milliseconds(900), start + Milliseconds(900), revision(13));
     CHECK(!schedule.isIncomplete());
 }
 
@@ -80,15 +85,14 @@
     // Guards against an old state that a VM which was frozen takes from its socket and counts as read now.
     ReadSchedule schedule({});
     schedule.noteBegun(start, later);
-    schedule.noteRead(digest, start, SourceRevision(10));
+    schedule.noteRead(digest, start, revision(10));
     schedule.noteBegun(start + Milliseconds(1'000), later);
-    schedule.noteReportedDigest(otherDigest, start + Milliseconds(1'100), start + Milliseconds(1'100),
-                                SourceRevision(12));
-    schedule.noteRead(digest, start + Milliseconds(3'000), SourceRevision(11));
+    schedule.noteReportedDigest(otherDigest, start + Milliseconds(1'100), start + Milliseconds(1'100), revision(12));
+    schedule.noteRead(digest, start + Milliseconds(3'000), revision(11));
     CHECK(schedule.isIncomplete());
     // A read that began after the report can't be older.
     schedule.noteBegun(start + Milliseconds(3'100), later);
-    schedule.noteRead(digest, start + Milliseconds(3'200), SourceRevision(11));
+    schedule.noteRead(digest, start + Milliseconds(3'200), revision(11));
     CHECK(!schedule.isIncomplete());
 }
 
@@ -97,13 +101,13 @@
     // Guards against VMs that keep each other's old rules for current during an outage of the platform.
     ReadSchedule schedule({});
     schedule.noteBegun(start, later);
-    schedule.noteRead(digest, start, SourceRevision(10));
+    schedule.noteRead(digest, start, revision(10));
     const TimePoint now = start + Milliseconds(1'000);
-    schedule.noteListOfOther(digest, SourceRevision(12), now);
-    schedule.noteListOfOther(otherDigest, SourceRevision(9), now);
+    schedule.noteListOfOther(digest, revision(12), now);
+    schedule.noteListOfOther(otherDigest, revision(9), now);
     CHECK(!schedule.isIncomplete());
     CHECK(schedule.confirmedAt() == start);
-    schedule.noteListOfOther(otherDigest, SourceRevision(12), now);
+    schedule.noteListOfOther(otherDigest, revision(12), now);
     CHECK(schedule.isIncomplete());
     CHECK(schedule.behindSince(now + Milliseconds(50)) == now);
 }
@@ -285,3 +289,31 @@
     schedule.noteReportedDigest(digest + 2, start + Milliseconds(2'700), start + Milliseconds(2'700));
     CHECK(!schedule.canSyncFrom(digest + 1, start + Milliseconds(900)));
 }
+
+TEST_CASE("ReadSchedule takes a list of a later epoch for the newer one, whatever its number")
+{
+    // Guards against a VM that ignores what was written after the platform came back from a copy, or that believes one
+    // that still tells of the time before.
+    ReadSchedule schedule({});
+    schedule.noteBegun(start, later);
+    schedule.noteRead(digest, start, revision(100, 1));
+    const TimePoint now = start + Milliseconds(100);
+    schedule.noteListOfOther(otherDigest, revision(5, 2), now);
+    REQUIRE(schedule.isIncomplete());
+    schedule.noteReceived(otherDigest, revision(5, 2));
+    schedule.noteReportedDigest(otherDigest, now, now, revision(5, 2));
+    CHECK(!schedule.isIncomplete());
+    schedule.noteReportedDigest(digest, now + Milliseconds(50), now + Milliseconds(50), revision(101, 1));
+    schedule.noteListOfOther(digest, revision(101, 1), now + Milliseconds(50));
+    CHECK(!schedule.isIncomplete());
+}
+
+TEST_CASE("ReadSchedule orders a report without an epoch by its time")
+{
+    // Guards against VMs of the release before, which tell no epoch, whose reports of newer lists are ignored.
+    ReadSchedule schedule({});
+    schedule.noteBegun(start, later);
+    schedule.noteRead(digest, start, revision(100, 1));
+    schedule.noteReportedDigest(otherDigest, start + Milliseconds(500), start + Milliseconds(500), revision(90));
+    CHECK(schedule.isIncomplete());
+}
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -165,8 +165,8 @@
     StoreOperatorState other(*otherClient);
     store.set("op", "config", rulesText(1));
     CHECK(versionOf(waiting) == 1);
-    // Newer than anything that the store will tell during the call.
-    const std::string newer = "1000000\n6\nconfig" + std::to_string(rulesText(5).size()) + "\n" + rulesText(5);
+    // Newer than anything that the store will tell during the call, and of its era, 1.
+    const std::string newer = "1000000\n0\n2\n1\n6\nconfig" + std::to_string(rulesText(5).size()) + "\n" + rulesText(5);
     const TimePoint begin = BootClock().now();
     std::thread call([&] {
         CHECK(versionOf(waiting, Milliseconds(1'000)) == 5);
@@ -274,11 +274,11 @@
         return registry.enter(record, soon(Milliseconds(200)));
     }));
     const auto entered = [&] {
-        const Outcome<std::vector<VmRecord>> records = capture([&] {
+        const Outcome<VmList> list = capture([&] {
             return registry.next(noWait, soon());
         });
-        REQUIRE(records);
-        return records.value();
+        REQUIRE(list);
+        return list.value().records;
     };
     REQUIRE(entered().size() == 1);
     CHECK(entered().front().callerAddress == record.callerAddress);
@@ -304,10 +304,130 @@
     store.set("vms", "no-port", record("10.0.0.1:80", "10.0.0.1"));
     store.set("vms", "host-name", record("10.0.0.1:80", "vm.example:7600"));
     StoreVmRegistry registry(*client);
-    const Outcome<std::vector<VmRecord>> records = capture([&] {
+    const Outcome<VmList> list = capture([&] {
         return registry.next(noWait, soon());
     });
-    REQUIRE(records);
-    REQUIRE(records.value().size() == 1);
-    CHECK(records.value().front().vm == VmId("sound"));
+    REQUIRE(list);
+    REQUIRE(list.value().records.size() == 1);
+    CHECK(list.value().records.front().vm == VmId("sound"));
+}
+
+TEST_CASE("Rules are followed after the store has come back from a copy, whatever its version then")
+{
+    // Guards against a VM that drops what it reads since its versions are lower, or that misses what was written under
+    // versions that it has already read.
+    for (const int writesBeforeRead : { 0, 50 }) {
+        CAPTURE(writesBeforeRead);
+        StoreStandIn store;
+        const std::unique_ptr<StoreClient> client = clientOf(store);
+        StoreOperatorState source(*client);
+        store.set("op", "config", rulesText(1));
+        const StoreTables copy = store.copy();
+        store.set("op", "config", rulesText(2));
+        for (int i = 0; i < 20; ++i) {
+            store.set("other", "row", std::to_string(i));
+        }
+        REQUIRE(versionOf(source) == 2);
+        store.restore(copy);
+        store.set("op", "config", rulesText(3));
+        for (int i = 0; i < writesBeforeRead; ++i) {
+            store.set("other", "row", std::to_string(i));
+        }
+        CHECK(versionOf(source) == 3);
+        store.set("op", "config", rulesText(4));
+        CHECK(versionOf(source) == 4);
+    }
+}
+
+TEST_CASE("A document of another VM is newer if its era is, and older if its era is")
+{
+    // Guards against rules of the time before a return from a copy that replace later ones, or that aren't replaced.
+    StoreStandIn store;
+    const std::unique_ptr<StoreClient> client = clientOf(store);
+    StoreOperatorState before(*client);
+    StoreOperatorState after(*client);
+    const StoreTables copy = store.copy();
+    for (int i = 0; i < 20; ++i) {
+        store.set("other", "row", std::to_string(i));
+    }
+    store.set("op", "config", rulesText(1));
+    const auto stateOf = [](StoreOperatorState &source) {
+        const Outcome<OperatorState> state = capture([&] {
+            return source.next(noWait, soon());
+        });
+        REQUIRE(state);
+        return state.value();
+    };
+    const OperatorState earlier = stateOf(before);
+    store.restore(copy);
+    store.set("op", "config", rulesText(2));
+    const OperatorState later = stateOf(after);
+    CHECK(earlier.revision.number() > later.revision.number());
+    const auto adopted = [](StoreOperatorState &source, const std::string &document) {
+        const Outcome<OperatorState> state = capture([&] {
+            return source.adopt(document);
+        });
+        REQUIRE(state);
+        return state.value().rules->version().value();
+    };
+    CHECK(adopted(after, earlier.document) == 2);
+    CHECK(adopted(before, later.document) == 2);
+    // A document of the release before has no era.
+    CHECK(adopted(before, "1000000\n") == 2);
+}
+
+TEST_CASE("An answer of the store without a usable era changes nothing")
+{
+    // Guards against rules of an earlier era, or of none, that come into force.
+    StoreStandIn store;
+    const std::unique_ptr<StoreClient> client = clientOf(store);
+    StoreOperatorState source(*client);
+    store.set("op", "config", rulesText(1));
+    store.setEra("5");
+    REQUIRE(versionOf(source) == 1);
+    store.set("op", "config", rulesText(2));
+    for (const std::optional<std::string> &era :
+         { std::optional<std::string>(), std::optional<std::string>("none"), std::optional<std::string>("4") }) {
+        store.setEra(era);
+        CHECK(!capture([&] {
+            return source.next(noWait, soon());
+        }));
+    }
+    store.setEra("5");
+    CHECK(versionOf(source) == 2);
+}
+
+TEST_CASE("A table that is read in several pages is of one era")
+{
+    // Guards against a list of which one half is from before the store's return from a copy and the other from after it.
+    constexpr int rows = 600;
+    StoreStandIn store;
+    const std::unique_ptr<StoreClient> client = clientOf(store);
+    const StoreTables empty = store.copy();
+    const auto fill = [&](const std::string &content) {
+        for (int i = 0; i < rows; ++i) {
+            store.set("t", std::to_string(i), content);
+        }
+    };
+    fill("later");
+    const StoreTables copy = store.copy();
+    store.restore(empty);
+    fill("earlier");
+    StoreFaults slow;
+    slow.delay = Milliseconds(200);
+    store.setFaults(slow);
+    std::thread drill([&] {
+        std::this_thread::sleep_for(Milliseconds(300));
+        store.restore(copy);
+    });
+    const Outcome<StoreRows> read = capture([&] {
+        return client->readAll("t", soon(Milliseconds(5'000)));
+    });
+    drill.join();
+    REQUIRE(read);
+    CHECK(read.value().rows.size() == rows);
+    CHECK(read.value().revision.epoch() == SourceEpoch(3));
+    for (const StoreRow &row : read.value().rows) {
+        CHECK(row.value == "later");
+    }
 }
--- a/Tests/StandIns/Store/StoreStandIn.cpp
+++ b/Tests/StandIns/Store/StoreStandIn.cpp
@@ -184,7 +184,11 @@
     void answer(int status, const std::string &body)
     {
         HttpServerConnection *const connection = std::exchange(m_connection, nullptr);
-        connection->answer({ status, {}, { { "Content-Type", "application/json" } }, {} }, body);
+        std::vector<HeaderField> headers { { "Content-Type", "application/json" } };
+        if (m_store.m_era) {
+            headers.push_back({ "Store-Era", *m_store.m_era });
+        }
+        connection->answer({ status, {}, headers, {} }, body);
     }
 
     StoreStandIn &m_store;
@@ -260,6 +264,25 @@
     m_faults = faults;
 }
 
+StoreTables StoreStandIn::copy()
+{
+    const std::lock_guard guard(m_mutex);
+    return m_tables;
+}
+
+void StoreStandIn::restore(const StoreTables &copy)
+{
+    const std::lock_guard guard(m_mutex);
+    m_tables = copy;
+    m_era = std::to_string(++m_restores + 1);
+}
+
+void StoreStandIn::setEra(const std::optional<std::string> &era)
+{
+    const std::lock_guard guard(m_mutex);
+    m_era = era;
+}
+
 RefPointer<HttpRequestHandler> StoreStandIn::createHandler()
 {
     return makeRefCounted<StoreStandInHandler>(*this);
--- a/Tests/StandIns/Store/StoreStandIn.h
+++ b/Tests/StandIns/Store/StoreStandIn.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -42,6 +43,12 @@
     /// Makes the store answer 410 to feeds that start before the current version.
     void dropHistory();
     void setFaults(const StoreFaults &faults);
+    /// Returns a copy of all rows, for restore().
+    StoreTables copy();
+    /// Goes back to a copy, so that what was written since is lost and its versions are given out again.
+    void restore(const StoreTables &copy);
+    /// Sets the text of the header Store-Era; nothing leaves it out.
+    void setEra(const std::optional<std::string> &era);
     std::uint64_t calls() const
     {
         return m_calls;
@@ -56,6 +63,8 @@
     std::unique_ptr<EventLoop> m_loop;
     std::mutex m_mutex;
     StoreTables m_tables;
+    std::optional<std::string> m_era { "1" };
+    std::uint64_t m_restores { 0 };
     StoreFaults m_faults;
     std::atomic<std::uint64_t> m_calls { 0 };
     std::unique_ptr<HttpListener> m_listener;
--- a/Tests/StandIns/Store/StoreTables.cpp
+++ b/Tests/StandIns/Store/StoreTables.cpp
@@ -34,7 +34,7 @@
 
 std::optional<std::vector<StandInRow>> StoreTables::changesAfter(const std::string &table, std::uint64_t version) const
 {
-    if (version < m_historyBegin) {
+    if (version < m_historyBegin || version > m_version) {
         return std::nullopt;
     }
     std::vector<StandInRow> changes;
--- a/Tests/StandIns/Store/StoreTables.h
+++ b/Tests/StandIns/Store/StoreTables.h
@@ -27,7 +27,7 @@
     /// Returns up to `limit` rows in key order, starting with the given key.
     std::vector<StandInRow> rows(const std::string &table, const std::string &from, std::size_t limit) const;
     /// Returns the last change of each row that changed after a version, in order of versions, or nothing if the
-    /// history doesn't reach back so far.
+    /// history doesn't reach back so far or ends before it.
     std::optional<std::vector<StandInRow>> changesAfter(const std::string &table, std::uint64_t version) const;
     /// Drops all changes up to the current version.
     void dropHistory()
