LibEntry: Enter a VM again whose record the store has lost

Cause: a VM enters itself if it isn't in the list of VMs. After the return it found itself in its cached list; the list is otherwise read every 45 s. VMs that start later don't know it, and those that read the list anew dropped it.

Change: when the epoch rises, each VM reads the list within 2 s, spread so that 730 VMs stay below the store's rates, and enters again.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -1,5 +1,6 @@
 #include <LibEntry/EntryDaemon.h>
 
+#include <LibCore/Duration.h>
 #include <LibEntry/EntryEvents.h>
 #include <LibNet/SocketAddresses.h>
 
@@ -19,6 +20,8 @@
 constexpr Milliseconds goneTime { 20'000 };
 constexpr Milliseconds goneInterval { 5'000 };
 constexpr Milliseconds callTime { 1'500 };
+// The VMs find out within this time whether the platform has lost their records. All at once would exceed its rates.
+constexpr Milliseconds enterAgainSpread { 2'000 };
 constexpr Milliseconds lookUpTimeToLive { 2'000 };
 constexpr int statusUnavailable = 503;
 // Documents for other VMs may fill this part of the link (one half); the rest is for requests.
@@ -50,6 +53,9 @@
                   [this] {
                       findGoneVms();
                   })
+    , m_enterAgainTimer(*m_loop, [this] {
+        m_vmListPoller->runSoon();
+    })
 {
 }
 
@@ -151,6 +157,10 @@
     m_metrics.gauge("sapphire_rules_behind_seconds", "", [this] {
         return std::chrono::duration<double>(m_operatorStateSynchronizer->behindFor()).count();
     });
+    m_operatorStateSynchronizer->onEpochRisen([this] {
+        // The copy may lack this VM's record.
+        m_enterAgainTimer.start(Deadline::after(m_loop->now(), scaled(enterAgainSpread, m_random.unit())));
+    });
     m_metrics.gauge("sapphire_platform_epoch", "", [this] {
         return static_cast<double>(m_operatorStateSynchronizer->epoch().value());
     });
@@ -285,7 +295,7 @@
 
 void EntryDaemon::applyVms(const VmList &list)
 {
-    const std::vector<VmRecord> &records = list.records;
+    const std::vector<VmRecord> records = m_vmListGuard.take(list.records, list.epoch, m_loop->now());
     m_peers->applyRecords(records);
     std::vector<RendezvousCandidate> vms { { m_own.vm, m_own.locality.region } };
     for (const VmRecord &record : records) {
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -7,6 +7,7 @@
 #include <LibGateway/Gateway.h>
 #include <LibNet/SimpleHttpServer.h>
 #include <LibPeer/PeerNetwork.h>
+#include <LibSteering/VmListGuard.h>
 
 #include <memory>
 #include <mutex>
@@ -82,6 +83,9 @@
     std::unique_ptr<OperatorStateSynchronizer> m_operatorStateSynchronizer;
     bool m_isConfigurationUnreadable { false }; ///< The platform holds a newer one than the rules in force.
     std::unique_ptr<TargetListSynchronizer> m_targetListSynchronizer;
+    VmListGuard m_vmListGuard;
+    RandomSource m_random { RandomSource::seededBySystem() };
+    Timer m_enterAgainTimer; ///< Reads the list of VMs after a return of the platform from a copy.
     std::unique_ptr<SourcePoller> m_vmListPoller;
 };
 
--- a/Tests/Entry/TestEntryRestore.cpp
+++ b/Tests/Entry/TestEntryRestore.cpp
@@ -142,3 +142,24 @@
     });
     restored.checkLastVersion();
 }
+
+TEST_CASE("A VM whose record the store has lost enters it again")
+{
+    // Guards against a VM that no VM which starts later knows of, so that look-ups omit it and its quota is spent
+    // twice.
+    RestoredDeployment restored;
+    StoreTables copy = restored.deployment.store().copy();
+    const std::string lost = restored.deployment.vms().front().name;
+    copy.remove("vms", lost);
+    REQUIRE(!restored.deployment.store().content("vms", lost).empty());
+    restored.restore(copy, [] {});
+    REQUIRE(restored.deployment.store().content("vms", lost).empty());
+    const std::size_t known = restored.deployment.lookUp(restored.deployment.vms()[1]).size();
+    const Deadline deadline = after(Milliseconds(8'000));
+    while (!deadline.hasPassed(BootClock().now()) && restored.deployment.store().content("vms", lost).empty()) {
+        // The others of its region go on to name it.
+        CHECK(restored.deployment.lookUp(restored.deployment.vms()[1]).size() == known);
+        std::this_thread::sleep_for(Milliseconds(100));
+    }
+    CHECK(!restored.deployment.store().content("vms", lost).empty());
+}
