LibEntry, LibPlatform: Don't take an old read of the targets for news

Cause: three places took a read without a look at its age. DeadlineSocket accepted an answer that came while poll() waited, however long after its deadline. The VM that went on took the waiting updates first and then its own old read, which it told as a change that starts from the newer list. VMs that were told a change that starts from their list applied it; only other changes were compared by age.

Ruled out: ordering the two threads of the VM that went on. A VM whose updates were lost would still tell its old read.

--- a/Libraries/LibEntry/EntryEvents.h
+++ b/Libraries/LibEntry/EntryEvents.h
@@ -19,6 +19,8 @@
 inline constexpr EventType platformEpochRisen { 12013, "platform-epoch-risen", Severity::Warning };
 /// The older copy lacks the newest configuration or evacuations, which this VM keeps in force.
 inline constexpr EventType operatorStateKept { 12014, "operator-state-kept", Severity::Warning };
+/// A list that was read is older than the one that this VM has by now, and isn't taken.
+inline constexpr EventType outdatedRead { 12015, "outdated-read", Severity::Info };
 inline constexpr EventType settingsReloaded { 12006, "settings-reloaded", Severity::Info };
 inline constexpr EventType settingsRejected { 12007, "settings-rejected", Severity::Error };
 inline constexpr EventType loopOverloaded { 12008, "loop-overloaded", Severity::Error };
--- a/Libraries/LibEntry/SharedSourceSynchronizer.cpp
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.cpp
@@ -173,6 +173,15 @@
     check();
 }
 
+void SharedSourceSynchronizer::finishOutdatedRead(TimePoint readAt)
+{
+    m_unreadableUntil = {};
+    m_schedule.noteOutdatedRead();
+    logEvent(EntryEvents::outdatedRead,
+             { { "list", sourceName() }, { "ageMilliseconds", millisecondsBetween(readAt, m_context.loop.now()) } });
+    check();
+}
+
 void SharedSourceSynchronizer::broadcast(const SourceUpdate &update)
 {
     // All VMs hear of the update at once, so that one whose copy of the document is lost can ask for it.
--- a/Libraries/LibEntry/SharedSourceSynchronizer.h
+++ b/Libraries/LibEntry/SharedSourceSynchronizer.h
@@ -92,6 +92,9 @@
     /// one.
     void finishRead(const std::vector<SourceUpdate> &updates);
 
+    /// To be called by the task of a read whose list isn't taken, since this VM has a newer one.
+    void finishOutdatedRead(TimePoint readAt);
+
     ReadSchedule &schedule()
     {
         return m_schedule;
--- a/Libraries/LibEntry/TargetListSynchronizer.cpp
+++ b/Libraries/LibEntry/TargetListSynchronizer.cpp
@@ -71,6 +71,11 @@
 void TargetListSynchronizer::takeList(const std::vector<TargetListEntry> &targets, TimePoint begunAt)
 {
     m_grace.noteSuccess(loop().now());
+    if (schedule().isOutdated(begunAt)) {
+        // This VM was told a newer list while the read went on, or while it stood still itself.
+        finishOutdatedRead(begunAt);
+        return;
+    }
     std::vector<TargetListChange> parts = m_list.applyWhole(targets, m_grace, loop().now(), mostEntriesPerDatagram);
     std::vector<SourceUpdate> updates;
     for (TargetListChange &part : parts) {
@@ -86,6 +91,10 @@
 
 void TargetListSynchronizer::applyUpdate(const SourceUpdate &update)
 {
+    if (schedule().isOutdated(update.readAt)) {
+        finishUpdate(update);
+        return;
+    }
     if (m_list.applyChange(update.change)) {
         schedule().setDigest(m_list.digest());
         m_onChange(update.change);
--- a/Libraries/LibPlatform/DeadlineSocket.cpp
+++ b/Libraries/LibPlatform/DeadlineSocket.cpp
@@ -57,7 +57,9 @@
             throw Poco::TimeoutException("the deadline passed");
         }
         pollfd entry { sockfd(), events, 0 };
-        if (::poll(&entry, 1, pollMilliseconds(remaining)) > 0) {
+        const bool isReady = ::poll(&entry, 1, pollMilliseconds(remaining)) > 0;
+        // The process may have been suspended while it waited; what has arrived by now may be of any age.
+        if (isReady && !m_deadline.hasPassed(clock.now())) {
             return;
         }
     }
--- a/Libraries/LibPlatform/DeadlineSocket.h
+++ b/Libraries/LibPlatform/DeadlineSocket.h
@@ -22,7 +22,7 @@
 
     /// Throws Poco::TimeoutException at the deadline.
     int sendBytes(const void *buffer, int length, int flags) override;
-    /// Throws Poco::TimeoutException at the deadline.
+    /// Throws Poco::TimeoutException at the deadline, also if bytes have arrived that were not read before it.
     int receiveBytes(void *buffer, int length, int flags) override;
 
 private:
--- a/Libraries/LibSteering/ReadSchedule.cpp
+++ b/Libraries/LibSteering/ReadSchedule.cpp
@@ -73,6 +73,17 @@
     m_isIncomplete = isOutdated;
 }
 
+void ReadSchedule::noteOutdatedRead()
+{
+    m_isReading = false;
+    m_hasFailed = false;
+}
+
+bool ReadSchedule::isOutdated(TimePoint readAt) const
+{
+    return m_hasList && readAt + timestampTolerance < m_confirmedAt;
+}
+
 void ReadSchedule::noteAdopted(std::uint64_t digest, TimePoint confirmedAt)
 {
     m_digest = digest;
--- a/Tests/LibEntry/TestTargetListSynchronizer.cpp
+++ b/Tests/LibEntry/TestTargetListSynchronizer.cpp
@@ -4,7 +4,9 @@
 #include <LibEntry/TargetListSynchronizer.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
+#include <span>
 
 using namespace Sapphire;
 
@@ -34,6 +36,18 @@
     {
         return m_reads;
     }
+    /// Reads that begin from now on end when release() is called, with the targets of their begin.
+    void hold()
+    {
+        const std::lock_guard guard(m_mutex);
+        m_isHeld = true;
+    }
+    void release()
+    {
+        const std::lock_guard guard(m_mutex);
+        m_isHeld = false;
+        m_released.notify_all();
+    }
     /// Returns how much time the first read had.
     Microseconds firstReadTimeout() const
     {
@@ -46,11 +60,17 @@
         if (m_reads++ == 0) {
             m_firstReadTimeout = deadline.remaining(BootClock().now());
         }
-        const std::lock_guard guard(m_mutex);
-        return m_targets;
+        std::unique_lock lock(m_mutex);
+        const std::vector<TargetListEntry> targets = m_targets;
+        m_released.wait(lock, [this] {
+            return !m_isHeld;
+        });
+        return targets;
     }
 
     std::mutex m_mutex;
+    std::condition_variable m_released;
+    bool m_isHeld { false };
     std::vector<TargetListEntry> m_targets;
     std::atomic<int> m_reads { 0 };
     std::atomic<Microseconds> m_firstReadTimeout { Microseconds(0) };
@@ -295,6 +315,58 @@
     CHECK(fixture.changes.empty());
 }
 
+TEST_CASE("TargetListSynchronizer ignores an old update that starts from the list that it has")
+{
+    // Guards against requests to a draining target since a VM that stood still tells the list that it read before.
+    const TargetListEntry ready = target("a");
+    TargetListEntry draining = ready;
+    draining.isDraining = true;
+    Fixture fixture({ draining });
+    TargetList list;
+    list.applyWhole({ draining }, {}, fixture.clock.now(), 1);
+    REQUIRE(list.digest() == fixture.peers.updates().back().digest);
+    const TargetListChange change = list.applyWhole({ ready }, {}, fixture.clock.now(), 1).front();
+    fixture.changes.clear();
+    fixture.synchronizer.takeUpdate(
+        { SourceKind::Targets, change.digest, fixture.clock.now() - Milliseconds(4'000), change, {} });
+    CHECK(fixture.changes.empty());
+    // The same change is news if it was read later.
+    fixture.synchronizer.takeUpdate({ SourceKind::Targets, change.digest, fixture.clock.now(), change, {} });
+    CHECK(fixture.changes.size() == 1);
+}
+
+TEST_CASE("TargetListSynchronizer neither applies nor tells a read that is older than what it has been told since")
+{
+    // Guards against a VM that stood still during its read, takes the waiting updates first when it goes on, and then
+    // replaces the newer list, here and at other VMs.
+    const TargetListEntry ready = target("a");
+    TargetListEntry draining = ready;
+    draining.isDraining = true;
+    Fixture fixture({ ready });
+    fixture.source.hold();
+    const int readsBefore = fixture.source.reads();
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.source.reads() > readsBefore;
+    }));
+    TargetList list;
+    list.applyWhole({ ready }, {}, fixture.clock.now(), 1);
+    const TargetListChange change = list.applyWhole({ draining }, {}, fixture.clock.now(), 1).front();
+    fixture.runFor(Milliseconds(300));
+    fixture.changes.clear();
+    fixture.synchronizer.takeUpdate({ SourceKind::Targets, change.digest, fixture.clock.now(), change, {} });
+    REQUIRE(fixture.changes.size() == 1);
+    const std::size_t updatesBefore = fixture.peers.updates().size();
+    fixture.source.set({ draining });
+    fixture.source.release();
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.peers.updates().size() > updatesBefore;
+    }));
+    for (const TargetListChange &later : std::span(fixture.changes).subspan(1)) {
+        CHECK(later.entryCount() == 0);
+    }
+    CHECK(fixture.peers.updates().back().digest == change.digest);
+}
+
 TEST_CASE("TargetListSynchronizer gives its first read enough time for a long list")
 {
     // Guards against a VM far from the platform that never finishes its first read, since it doesn't know how long the
