LibPeer: Count a pause of the VM in the age of updates that waited for it

Cause: the age in a datagram is counted until it is sent; what it waited at its receiver was left out.

Before: the new case failed (read time 0.8 s too late). After: it passes.

--- a/Libraries/LibPeer/PeerNetwork.cpp
+++ b/Libraries/LibPeer/PeerNetwork.cpp
@@ -324,6 +324,7 @@
     const TimePoint now = m_loop.now();
     if (now - m_lastActiveAt > longestBacklogPause) {
         m_backlogUntil = Deadline::after(now, backlogTime);
+        m_backlogPause = now - m_lastActiveAt;
     }
     m_lastActiveAt = now;
 }
--- a/Libraries/LibPeer/PeerNetwork.h
+++ b/Libraries/LibPeer/PeerNetwork.h
@@ -206,6 +206,7 @@
     TimePoint m_silenceCheckedAt {};
     TimePoint m_lastActiveAt {}; ///< When a timer or datagram was last handled; timers run many times a second.
     Deadline m_backlogUntil; ///< Until then, received datagrams may have waited during a pause.
+    Microseconds m_backlogPause {}; ///< How long they may have waited.
     Deadline m_silenceUnreliableUntil; ///< Until then, live VMs may look silent because this one was paused.
     std::uint64_t m_rejected { 0 };
     std::uint64_t m_sentDocuments { 0 };
--- a/Libraries/LibPeer/PeerNetworkUpdates.cpp
+++ b/Libraries/LibPeer/PeerNetworkUpdates.cpp
@@ -88,6 +88,9 @@
     if (!update) {
         return std::nullopt;
     }
+    if (!m_backlogUntil.hasPassed(m_loop.now())) {
+        update->readAt -= m_backlogPause;
+    }
     update->origin = message.told_by().empty() ? sender.vm : VmId(message.told_by());
     if (message.parts() == 0) {
         return update;
--- a/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
+++ b/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
@@ -85,3 +85,21 @@
         CHECK(region.vms()[i].received.front().digest == 7);
     }
 }
+
+TEST_CASE("An update that waited while its receiver stood still isn't taken for a newer one than it is")
+{
+    // Guards against a VM that tells an old list as confirmed now, since it has just taken it from its socket.
+    PeerVms region(twoZones(2));
+    startLargeRegion(region);
+    SourceUpdate update;
+    update.kind = SourceKind::Targets;
+    update.digest = 7;
+    update.readAt = region.now();
+    region.vms().front().network->broadcastUpdate(update);
+    // All VMs of the test share a thread.
+    std::this_thread::sleep_for(Milliseconds(800));
+    REQUIRE(region.runUntil([&region] {
+        return !region.vms()[1].received.empty();
+    }));
+    CHECK(region.vms()[1].received.front().readAt <= update.readAt);
+}
