LibEntry: Count the age of rules from the question, not from the answer's arrival

Cause: the state was dated when its answer was taken.

Change: a state that changed is dated by the question, an unchanged one by the end of the wait that it was asked to last. After a change the reader's next call waits only for the rest of the usual time, so that the state is confirmed as often as before.

Before: the new case failed (dated 0.4 s after the question). After: it passes.

--- a/Libraries/LibEntry/OperatorStateSynchronizer.cpp
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Hash.h>
 #include <LibEntry/EntryEvents.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Sapphire {
@@ -61,21 +62,34 @@
 
 Result<SharedSourceSynchronizer::Task> OperatorStateSynchronizer::read(bool isReader)
 {
-    const Milliseconds wait = isReader ? readerWait : Milliseconds(0);
     const Clock &clock = loop().clock();
-    BOOST_LEAF_AUTO(state, m_source.next(wait, Deadline::after(clock.now(), wait + callTime)));
-    // The platform reads the state when a long poll ends, so that this is the time of the state.
-    const TimePoint answeredAt = clock.now();
-    return Task([this, current = state, answeredAt] {
+    const TimePoint begunAt = clock.now();
+    const Milliseconds wait = isReader ? readerWaitAt(begunAt) : Milliseconds(0);
+    BOOST_LEAF_AUTO(state, m_source.next(wait, Deadline::after(begunAt, wait + callTime)));
+    // The answer may have waited while this VM stood still, so that the time at which it is taken says nothing.
+    const bool hasWaited = state.isUnchanged && clock.now() >= begunAt + wait;
+    const TimePoint stateAt = hasWaited ? begunAt + wait : begunAt;
+    m_lastChangeAt = hasWaited ? std::nullopt : std::optional(stateAt);
+    return Task([this, current = state, stateAt] {
         applyState(current);
         const bool isNews = this->schedule().hasList() && m_applied.digest != this->schedule().digest();
-        SourceUpdate update { SourceKind::Rules, m_applied.digest, answeredAt, {}, {} };
+        SourceUpdate update { SourceKind::Rules, m_applied.digest, stateAt, {}, {} };
         update.document = isNews ? m_state.document : std::string();
         update.revision = m_applied.revision;
         finishRead({ update });
     });
 }
 
+Milliseconds OperatorStateSynchronizer::readerWaitAt(TimePoint now) const
+{
+    if (!m_lastChangeAt) {
+        return readerWait;
+    }
+    // Other VMs would read for themselves if the state were confirmed later than after the usual wait.
+    const auto sinceChange = std::chrono::duration_cast<Milliseconds>(now - *m_lastChangeAt);
+    return std::max(readerWait - sinceChange, Milliseconds(0));
+}
+
 void OperatorStateSynchronizer::applyState(const OperatorState &state)
 {
     // Two threads post states, so that an older one may come later.
--- a/Libraries/LibEntry/OperatorStateSynchronizer.h
+++ b/Libraries/LibEntry/OperatorStateSynchronizer.h
@@ -52,6 +52,8 @@
     };
 
     Result<Task> read(bool isReader) override;
+    /// Returns for how long a reader's call waits for a change.
+    Milliseconds readerWaitAt(TimePoint now) const;
     void applyUpdate(const SourceUpdate &update) override;
     std::optional<Task> processPendingUpdate() override;
     void requestSync(std::size_t rank) override;
@@ -67,6 +69,9 @@
     void passOn(const OperatorState &state);
 
     OperatorStateSource &m_source;
+    /// When the last state that was read is known to have been the platform's; empty if nothing had changed. Used by
+    /// the synchronizer's thread only.
+    std::optional<TimePoint> m_lastChangeAt;
     std::mutex m_pendingMutex;
     std::optional<SourceUpdate> m_pendingUpdate; ///< Of another VM, to be processed on a thread of its own.
     std::function<void(const OperatorState &)> m_onState;
--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -23,6 +23,8 @@
     std::set<AvailabilityZoneId> evacuatedZones;
     std::string document; ///< The state in serialized form, for OperatorStateSource::adopt() of other VMs.
     SourceRevision revision {}; ///< The platform's, at which this was the state.
+    /// The platform has let the whole wait of next() pass without a change, so that this was the state at its end.
+    bool isUnchanged { false };
     VmId origin {}; ///< The VM that sent the state; empty if it was read from the platform.
 };
 
--- a/Libraries/LibSteering/ReadSchedule.h
+++ b/Libraries/LibSteering/ReadSchedule.h
@@ -56,8 +56,8 @@
     void noteRead(std::uint64_t digest, TimePoint readAt, SourceRevision revision = {});
     /// The read that was started has succeeded, but its list is outdated and was not taken.
     void noteOutdatedRead();
-    /// Returns whether a list that was read then is older than this VM's list. Its readers' questions are compared, since
-    /// an answer may be older than the time at which it was taken.
+    /// Returns whether a list that was asked for then is older than this VM's list. An answer may be older than the
+    /// time at which it was taken, so that only the times of the questions are compared.
     bool isOutdated(TimePoint readAt) const;
     /// Replaces two of the settings, since they depend on the size of the list and of the region.
     void setTimeouts(Milliseconds peerSyncTimeout, Milliseconds confirmationTimeout)
--- a/Tests/LibEntry/TestOperatorStateSynchronizer.cpp
+++ b/Tests/LibEntry/TestOperatorStateSynchronizer.cpp
@@ -4,6 +4,7 @@
 #include <LibEntry/SynchronizerFixture.h>
 
 #include <atomic>
+#include <thread>
 
 using namespace Sapphire;
 
@@ -26,8 +27,53 @@
     std::atomic<int> reads { 0 };
 };
 
+/// A source whose answers come late, as to a VM that stands still meanwhile. Each one is a change.
+class LateSource final : public OperatorStateSource
+{
+public:
+    explicit LateSource(const Clock &clock) : m_clock(clock)
+    {
+    }
+    Result<OperatorState> next(Milliseconds, Deadline) override
+    {
+        m_begins.push_back(m_clock.now());
+        std::this_thread::sleep_for(Milliseconds(400));
+        OperatorState state;
+        state.revision = { SourceEpoch(), ++m_revision };
+        return state;
+    }
+    Result<OperatorState> adopt(const std::string &) override
+    {
+        return OperatorState {};
+    }
+    /// When the first call began. To be called after the synchronizer has stopped.
+    TimePoint firstBegin() const
+    {
+        return m_begins.front();
+    }
+
+private:
+    const Clock &m_clock;
+    std::uint64_t m_revision { 0 };
+    std::vector<TimePoint> m_begins;
+};
+
 } // namespace
 
+TEST_CASE("A state that changed counts as read when it was asked for")
+{
+    // Guards against rules that count as confirmed now although their answer waited while the VM stood still.
+    SynchronizerFixture fixture;
+    LateSource source(fixture.clock);
+    OperatorStateSynchronizer synchronizer(fixture.context(), source, [](const OperatorState &) {});
+    synchronizer.start({ EntryEvents::rulesSourceLost, EntryEvents::rulesSourceBack });
+    REQUIRE(fixture.runUntil([&] {
+        return !fixture.peers.updates().empty();
+    }));
+    synchronizer.stop();
+    CHECK(fixture.peers.updates().front().readAt <= source.firstBegin());
+}
+
 TEST_CASE("A VM that got its first rules from another VM reads by itself once it hears nothing more")
 {
     // Guards against a VM that keeps its first rules for good because the platform refused it when it started.
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -399,7 +399,7 @@
 
 TEST_CASE("A table that is read in several pages is of one era")
 {
-    // Guards against a list of which one half is from before the store's return from a copy and the other from after it.
+    // Guards against a list of which one half is from before the store's return from a copy, the other from after it.
     constexpr int rows = 600;
     StoreStandIn store;
     const std::unique_ptr<StoreClient> client = clientOf(store);
