LibSteering: Order the entries of a target by the number that it counts up

What callers could see: after the store has come back from an older copy, requests to a target that drains or has left, until it writes its entry again (DRAIN).

Cause: a list that was read replaced the known one as a whole, also where it holds what a target wrote before.

Change: an entry with a lower number than the known one of the same start changes nothing, nor does the last entry or an earlier one of a target that was removed; the last 1,024 removals are remembered. Entries without the time of their start are taken as before, since their numbers start anew at each start.

--- a/Libraries/LibSteering/TargetList.cpp
+++ b/Libraries/LibSteering/TargetList.cpp
@@ -13,6 +13,8 @@
 // If at least this fraction of a service's targets is listed, the missing ones get no new work. If more are missing, it
 // is likelier that the store lost their entries than that they left.
 constexpr double leastListedFraction = 2.0 / 3;
+// Number of removed targets whose last entries are remembered.
+constexpr std::size_t mostRemoved = 1'024;
 
 std::uint64_t hashOf(const TargetListEntry &target)
 {
@@ -116,6 +118,13 @@
     if (found != bucket.entries.end()) {
         bucket.digest -= found->second.hash;
         m_digest -= found->second.hash;
+        const TargetListEntry &target = found->second.target;
+        m_removed[id] = { target.startedAtMilliseconds, target.sequence };
+        m_removedOrder.push_back(id);
+        if (m_removedOrder.size() > mostRemoved) {
+            m_removed.erase(m_removedOrder.front());
+            m_removedOrder.pop_front();
+        }
         bucket.entries.erase(found);
     }
 }
@@ -127,6 +136,12 @@
     ChangeParts parts(*this, mostEntries);
     for (const TargetListEntry &target : targets) {
         Entry *const known = find(target.id);
+        if (isOutdated(target, known)) {
+            if (known != nullptr) {
+                known->generation = m_generation;
+            }
+            continue;
+        }
         if (known == nullptr || isChanged(known->target, target, now)) {
             set(target).generation = m_generation;
             parts.noteChanged(target);
@@ -144,6 +159,21 @@
     return parts.take();
 }
 
+bool TargetList::isOutdated(const TargetListEntry &target, const Entry *known) const
+{
+    // Without the time of its start it isn't known which entries a target's numbers order.
+    if (target.startedAtMilliseconds == 0) {
+        return false;
+    }
+    if (known != nullptr) {
+        return target.startedAtMilliseconds == known->target.startedAtMilliseconds
+            && target.sequence < known->target.sequence;
+    }
+    const auto removed = m_removed.find(target.id);
+    return removed != m_removed.end() && target.startedAtMilliseconds == removed->second.startedAtMilliseconds
+        && target.sequence <= removed->second.sequence;
+}
+
 std::vector<TargetId> TargetList::missing() const
 {
     std::vector<TargetId> missing;
--- a/Libraries/LibSteering/TargetList.h
+++ b/Libraries/LibSteering/TargetList.h
@@ -4,6 +4,7 @@
 #include <LibSteering/TargetListEntry.h>
 
 #include <array>
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -34,7 +35,9 @@
 
     /// Applies a whole list that was read from the platform. Returns the changes in at least one part of at most
     /// `mostEntries` entries, each relative to the list after the previous part. During the grace period, missing
-    /// targets are kept; they are marked as draining if most targets of their service are still listed.
+    /// targets are kept; they are marked as draining if most targets of their service are still listed. An entry that
+    /// its target wrote before the one that is known changes nothing: the platform may have come back from an older
+    /// copy.
     std::vector<TargetListChange> applyWhole(const std::vector<TargetListEntry> &targets, const AbsenceGrace &grace,
                                              TimePoint now, std::size_t mostEntries);
     /// Applies a change whose base is this list. Returns false, without a change, if the base differs, and also if the
@@ -72,7 +75,16 @@
     };
     class ChangeParts;
 
+    /// The last known entry of a target that was removed.
+    struct RemovedEntry
+    {
+        std::int64_t startedAtMilliseconds { 0 };
+        std::uint64_t sequence { 0 };
+    };
+
     static std::size_t bucketOf(const TargetId &id);
+    /// Returns whether the target, which may be known, wrote the entry before one that was seen already.
+    bool isOutdated(const TargetListEntry &target, const Entry *known) const;
     Entry *find(const TargetId &id);
     Entry &set(const TargetListEntry &target);
     void remove(const TargetId &id);
@@ -85,6 +97,8 @@
     std::array<Bucket, bucketCount> m_buckets;
     std::uint64_t m_digest { emptyDigest };
     std::uint64_t m_generation { 0 }; ///< Number of whole lists applied so far.
+    std::map<TargetId, RemovedEntry> m_removed; ///< Of the targets that were removed last.
+    std::deque<TargetId> m_removedOrder; ///< The order of their removals.
 };
 
 } // namespace Sapphire
--- a/Tests/LibSteering/TestTargetList.cpp
+++ b/Tests/LibSteering/TestTargetList.cpp
@@ -181,3 +181,28 @@
     CHECK(other.bucketDigests() == digests);
     CHECK(other.targets().size() == count);
 }
+
+TEST_CASE("TargetList doesn't take an entry for news that its target wrote before the one that is known")
+{
+    // Guards against requests to a target that drains or has left, since the platform has come back from an older copy.
+    const auto entry = [](bool isDraining, std::int64_t start, std::uint64_t sequence) {
+        TargetListEntry result = target("a");
+        result.isDraining = isDraining;
+        result.startedAtMilliseconds = start;
+        result.sequence = sequence;
+        return result;
+    };
+    TargetList list;
+    apply(list, { entry(true, 1, 8) });
+    CHECK(apply(list, { entry(false, 1, 7) }).entryCount() == 0);
+    CHECK(drainingIn(list).size() == 1);
+    CHECK(apply(list, { entry(false, 1, 9) }).entryCount() == 1);
+    apply(list, {});
+    CHECK(apply(list, { entry(false, 1, 8) }).entryCount() == 0);
+    CHECK(apply(list, { entry(false, 1, 9) }).entryCount() == 0);
+    CHECK(list.size() == 0);
+    CHECK(apply(list, { entry(false, 1, 10) }).entryCount() == 1);
+    // The numbers of another start, or of one that isn't known, say nothing.
+    CHECK(apply(list, { entry(true, 2, 1) }).entryCount() == 1);
+    CHECK(apply(list, { entry(false, 0, 0) }).entryCount() == 1);
+}
