--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -168,7 +168,8 @@
         const OperatorStateSynchronizer &synchronizer = *m_operatorStateSynchronizer;
         return RulesConfirmation { synchronizer.confirmedAt(),
                                    synchronizer.isIncomplete() || synchronizer.isAwaitingRewrite()
-                                       || m_isConfigurationUnreadable };
+                                       || m_isConfigurationUnreadable,
+                                   synchronizer.status().revision };
     });
     m_targetListSynchronizer =
         std::make_unique<TargetListSynchronizer>(context, TargetListSynchronizerSettings { m_settings.isFirstStart },
--- a/Libraries/LibGateway/GatewayRequestLog.cpp
+++ b/Libraries/LibGateway/GatewayRequestLog.cpp
@@ -53,6 +53,8 @@
                { "origin", history.origin() },
                { "confirmedMillisecondsAgo", millisecondsBetween(confirmation.at, m_loop.now()) },
                { "superseded", confirmation.isSuperseded },
+               { "epoch", confirmation.revision.epoch() },
+               { "revision", confirmation.revision.number() },
                { "unreadable", m_rules->unreadableEntries() } });
 }
 
--- a/Libraries/LibSteering/RulesHistory.h
+++ b/Libraries/LibSteering/RulesHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/SourceRevision.h>
 #include <LibSteering/ServingRules.h>
 
 namespace Sapphire {
@@ -9,6 +10,7 @@
 {
     TimePoint at {};
     bool isSuperseded { false }; ///< There are newer rules, which this VM lacks or can't read.
+    SourceRevision revision {}; ///< The newest one at which the copy is known to have been the platform's.
 };
 
 /// The rules in force, where they came from, and the versions by which a refusal can be explained: the one before and
