--- a/Tests/LibEntry/TestTargetListSynchronizer.cpp
+++ b/Tests/LibEntry/TestTargetListSynchronizer.cpp
@@ -61,7 +61,7 @@
             m_firstReadTimeout = deadline.remaining(BootClock().now());
         }
         std::unique_lock lock(m_mutex);
-        const std::vector<TargetListEntry> targets = m_targets;
+        std::vector<TargetListEntry> targets = m_targets;
         m_released.wait(lock, [this] {
             return !m_isHeld;
         });
