LibEntry: Give targets time to write again what the store has lost

What callers could see: fewer targets for a moment after the store came back from a copy: those that had joined since it was made were removed at once, and their connections closed.

Cause: only a failed read started the grace period of missing targets; a return from a copy may be without one.

Change: a read of a later epoch starts it as well.

Before: the new case failed (target removed by the first read of the copy).

--- a/Libraries/LibEntry/PlatformSources.h
+++ b/Libraries/LibEntry/PlatformSources.h
@@ -43,6 +43,13 @@
     [[nodiscard]] virtual Result<OperatorState> adopt(const std::string &document) = 0;
 };
 
+/// The targets that the platform lists.
+struct TargetListing
+{
+    std::vector<TargetListEntry> targets;
+    SourceEpoch epoch; ///< The platform's, when they were read.
+};
+
 /// The platform's target list. To be used by one thread at a time; every call may block until its deadline.
 class TargetListSource
 {
@@ -51,7 +58,7 @@
 
     /// Returns the targets that are listed now. Entries that can't be read are left out.
     /// Fails with Unavailable, Timeout and DataLoss.
-    [[nodiscard]] virtual Result<std::vector<TargetListEntry>> read(Deadline deadline) = 0;
+    [[nodiscard]] virtual Result<TargetListing> read(Deadline deadline) = 0;
 };
 
 /// The registered VMs.
--- a/Libraries/LibEntry/TargetListSynchronizer.cpp
+++ b/Libraries/LibEntry/TargetListSynchronizer.cpp
@@ -62,21 +62,27 @@
 {
     const Clock &clock = loop().clock();
     const TimePoint begunAt = clock.now();
-    BOOST_LEAF_AUTO(targets, m_source.read(Deadline::after(begunAt, m_readTimeout.load())));
-    return Task([this, targets = std::move(targets), begunAt] {
-        takeList(targets, begunAt);
+    BOOST_LEAF_AUTO(listing, m_source.read(Deadline::after(begunAt, m_readTimeout.load())));
+    return Task([this, listing = std::move(listing), begunAt] {
+        takeList(listing, begunAt);
     });
 }
 
-void TargetListSynchronizer::takeList(const std::vector<TargetListEntry> &targets, TimePoint begunAt)
+void TargetListSynchronizer::takeList(const TargetListing &listing, TimePoint begunAt)
 {
+    const SourceEpoch before = std::exchange(m_epoch, listing.epoch);
+    if (m_epoch > before && before != SourceEpoch()) {
+        // The copy lacks the targets that have joined since; they write their entries again.
+        m_grace.noteFailure();
+    }
     m_grace.noteSuccess(loop().now());
     if (schedule().isOutdated(begunAt)) {
         // This VM was told a newer list while the read went on, or while it stood still itself.
         finishOutdatedRead(begunAt);
         return;
     }
-    std::vector<TargetListChange> parts = m_list.applyWhole(targets, m_grace, loop().now(), mostEntriesPerDatagram);
+    std::vector<TargetListChange> parts =
+        m_list.applyWhole(listing.targets, m_grace, loop().now(), mostEntriesPerDatagram);
     std::vector<SourceUpdate> updates;
     for (TargetListChange &part : parts) {
         m_onChange(part);
--- a/Libraries/LibEntry/TargetListSynchronizer.h
+++ b/Libraries/LibEntry/TargetListSynchronizer.h
@@ -45,7 +45,7 @@
     /// Sets how long a read may take, and how long this VM waits for others before it reads. A longer list takes longer
     /// to read, and many VMs that read it at once saturate the link of their region to the platform.
     void adjustTimeouts();
-    void takeList(const std::vector<TargetListEntry> &targets, TimePoint begunAt);
+    void takeList(const TargetListing &listing, TimePoint begunAt);
     /// Returns the VM that most likely has what this one lacks.
     VmId preferredSyncPeer(std::size_t rank);
     VmId randomSyncPeer();
@@ -61,6 +61,7 @@
     TimePoint m_mergedReadAt {}; ///< When the newest update was read whose entries were merged.
     TargetList m_list;
     AbsenceGrace m_grace;
+    SourceEpoch m_epoch; ///< The platform's, at the last read.
 };
 
 } // namespace Sapphire
--- a/Tests/LibEntry/TestTargetListSynchronizer.cpp
+++ b/Tests/LibEntry/TestTargetListSynchronizer.cpp
@@ -27,10 +27,11 @@
 class FakeTargetList final : public TargetListSource
 {
 public:
-    void set(std::vector<TargetListEntry> targets)
+    void set(std::vector<TargetListEntry> targets, SourceEpoch epoch = SourceEpoch(1))
     {
         const std::lock_guard guard(m_mutex);
         m_targets = std::move(targets);
+        m_epoch = epoch;
     }
     int reads() const
     {
@@ -55,23 +56,24 @@
     }
 
 private:
-    Result<std::vector<TargetListEntry>> read(Deadline deadline) override
+    Result<TargetListing> read(Deadline deadline) override
     {
         if (m_reads++ == 0) {
             m_firstReadTimeout = deadline.remaining(BootClock().now());
         }
         std::unique_lock lock(m_mutex);
-        std::vector<TargetListEntry> targets = m_targets;
+        TargetListing listing { m_targets, m_epoch };
         m_released.wait(lock, [this] {
             return !m_isHeld;
         });
-        return targets;
+        return listing;
     }
 
     std::mutex m_mutex;
     std::condition_variable m_released;
     bool m_isHeld { false };
     std::vector<TargetListEntry> m_targets;
+    SourceEpoch m_epoch;
     std::atomic<int> m_reads { 0 };
     std::atomic<Microseconds> m_firstReadTimeout { Microseconds(0) };
 };
@@ -367,6 +369,25 @@
     CHECK(fixture.peers.updates().back().digest == change.digest);
 }
 
+TEST_CASE("TargetListSynchronizer doesn't remove targets at once that the platform has lost")
+{
+    // Guards against targets that get nothing, or whose requests are cut, since the platform came back from a copy that
+    // was made before they joined.
+    Fixture fixture({ target("a"), target("b"), target("c") });
+    fixture.changes.clear();
+    fixture.source.set({ target("a"), target("b") }, SourceEpoch(2));
+    REQUIRE(fixture.runUntil([&] {
+        return !fixture.changes.empty() && fixture.changes.back().entryCount() > 0;
+    }));
+    CHECK(fixture.changes.back().removed.empty());
+    REQUIRE(fixture.changes.back().changed.size() == 1);
+    CHECK(fixture.changes.back().changed.front().isDraining);
+    // Its entry isn't written again: it has gone.
+    CHECK(fixture.runUntil([&] {
+        return !fixture.changes.back().removed.empty();
+    }));
+}
+
 TEST_CASE("TargetListSynchronizer gives its first read enough time for a long list")
 {
     // Guards against a VM far from the platform that never finishes its first read, since it doesn't know how long the
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -215,11 +215,11 @@
         store.set("servers", "i-" + std::to_string(i), targetText(i % 2 == 0 ? "ready" : "draining"));
     }
     store.set("servers", "i-odd", targetText("resting"));
-    const Outcome<std::vector<TargetListEntry>> targets = capture([&] {
+    const Outcome<TargetListing> listing = capture([&] {
         return list.read(soon(Milliseconds(5'000)));
     });
-    REQUIRE(targets);
-    CHECK(targets.value().size() == 1'203);
+    REQUIRE(listing);
+    CHECK(listing.value().targets.size() == 1'203);
 }
 
 TEST_CASE("A read fails in bounded time if the store refuses, resets, stays silent or is slow")
@@ -249,11 +249,11 @@
     store.setFaults({});
     // The client's circuit breaker allows a trial request after a second.
     std::this_thread::sleep_for(Milliseconds(1'050));
-    const Outcome<std::vector<TargetListEntry>> targets = capture([&] {
+    const Outcome<TargetListing> listing = capture([&] {
         return list.read(soon());
     });
-    REQUIRE(targets);
-    CHECK(targets.value().size() == 1);
+    REQUIRE(listing);
+    CHECK(listing.value().targets.size() == 1);
 }
 
 TEST_CASE("A VM's record is written even if the answer is lost, and can be removed")
