--- a/Tests/Entry/TestEntryRestore.cpp
+++ b/Tests/Entry/TestEntryRestore.cpp
@@ -145,8 +145,7 @@
 
 TEST_CASE("A VM whose record the store has lost enters it again")
 {
-    // Guards against a VM that no VM which starts later knows of, so that look-ups omit it and its quota is spent
-    // twice.
+    // Guards against a VM that those which start later don't know: look-ups omit it and its quota is spent twice.
     RestoredDeployment restored;
     StoreTables copy = restored.deployment.store().copy();
     const std::string lost = restored.deployment.vms().front().name;
--- a/Tests/LibEntry/TestTargetListSynchronizer.cpp
+++ b/Tests/LibEntry/TestTargetListSynchronizer.cpp
@@ -339,8 +339,7 @@
 
 TEST_CASE("TargetListSynchronizer neither applies nor tells a read that is older than what it has been told since")
 {
-    // Guards against a VM that stood still during its read, takes the waiting updates first when it goes on, and then
-    // replaces the newer list, here and at other VMs.
+    // Guards against a VM that stood still during its read and replaces the newer list, here and at other VMs.
     const TargetListEntry ready = target("a");
     TargetListEntry draining = ready;
     draining.isDraining = true;
@@ -371,8 +370,7 @@
 
 TEST_CASE("TargetListSynchronizer doesn't remove targets at once that the platform has lost")
 {
-    // Guards against targets that get nothing, or whose requests are cut, since the platform came back from a copy that
-    // was made before they joined.
+    // Guards against targets that are dropped since the platform came back from a copy made before they joined.
     Fixture fixture({ target("a"), target("b"), target("c") });
     fixture.changes.clear();
     fixture.source.set({ target("a"), target("b") }, SourceEpoch(2));
--- a/Tests/LibSteering/TestReadSchedule.cpp
+++ b/Tests/LibSteering/TestReadSchedule.cpp
@@ -292,8 +292,7 @@
 
 TEST_CASE("ReadSchedule takes a list of a later epoch for the newer one, whatever its number")
 {
-    // Guards against a VM that ignores what was written after the platform came back from a copy, or that believes one
-    // that still tells of the time before.
+    // Guards against a VM that ignores what was written after the platform came back from a copy.
     ReadSchedule schedule({});
     schedule.noteBegun(start, later);
     schedule.noteRead(digest, start, revision(100, 1));
--- a/Tests/LibSteering/TestVmListGuard.cpp
+++ b/Tests/LibSteering/TestVmListGuard.cpp
@@ -20,8 +20,7 @@
 
 TEST_CASE("VmListGuard keeps VMs that the platform has lost, for a limited time")
 {
-    // Guards against VMs that take the share of a quota that another one still spends, since the platform came back
-    // from a copy without that one's record.
+    // Guards against VMs that take the share of a quota that a VM still spends whose record the platform has lost.
     VmListGuard guard;
     guard.take({ vm("a"), vm("b") }, SourceEpoch(1), start);
     CHECK(guard.take({ vm("a") }, SourceEpoch(2), start).size() == 2);
--- a/Tests/Platform/TestStoreSources.cpp
+++ b/Tests/Platform/TestStoreSources.cpp
@@ -314,8 +314,7 @@
 
 TEST_CASE("Rules are followed after the store has come back from a copy, whatever its version then")
 {
-    // Guards against a VM that drops what it reads since its versions are lower, or that misses what was written under
-    // versions that it has already read.
+    // Guards against a VM that drops lower versions, or misses what was written under versions that it has read.
     for (const int writesBeforeRead : { 0, 50 }) {
         CAPTURE(writesBeforeRead);
         StoreStandIn store;
