--- a/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
+++ b/Tests/LibPeer/TestSourceUpdateBroadcast.cpp
@@ -34,6 +34,17 @@
     });
 }
 
+/// Broadcasts an update of the targets from the first VM and returns it.
+SourceUpdate broadcastTargets(PeerVms &region)
+{
+    SourceUpdate update;
+    update.kind = SourceKind::Targets;
+    update.digest = 7;
+    update.readAt = region.now();
+    region.vms().front().network->broadcastUpdate(update);
+    return update;
+}
+
 } // namespace
 
 TEST_CASE("No VM sends a document to more than a few others, and all VMs receive it")
@@ -66,11 +77,7 @@
     // the update in a loop.
     PeerVms region(twoZones(4));
     startLargeRegion(region);
-    SourceUpdate update;
-    update.kind = SourceKind::Targets;
-    update.digest = 7;
-    update.readAt = region.now();
-    region.vms().front().network->broadcastUpdate(update);
+    broadcastTargets(region);
     const auto haveReceived = [&region] {
         return std::all_of(region.vms().begin() + 1, region.vms().end(), [](const PeerVm &vm) {
             return !vm.received.empty();
@@ -91,11 +98,7 @@
     // Guards against a VM that tells an old list as confirmed now, since it has just taken it from its socket.
     PeerVms region(twoZones(2));
     startLargeRegion(region);
-    SourceUpdate update;
-    update.kind = SourceKind::Targets;
-    update.digest = 7;
-    update.readAt = region.now();
-    region.vms().front().network->broadcastUpdate(update);
+    const SourceUpdate update = broadcastTargets(region);
     // All VMs of the test share a thread.
     std::this_thread::sleep_for(Milliseconds(800));
     REQUIRE(region.runUntil([&region] {
